--- a/cmd/rosemaryhatch-node/main.go
+++ b/cmd/rosemaryhatch-node/main.go
@@ -14,7 +14,7 @@
 
 	"github.com/rosemaryhatch/rosemaryhatch/internal/version"
 	"github.com/rosemaryhatch/rosemaryhatch/node"
-	"github.com/rosemaryhatch/rosemaryhatch/platform/httpkv"
+	"github.com/rosemaryhatch/rosemaryhatch/platform/kv"
 	"github.com/rosemaryhatch/rosemaryhatch/settings"
 )
 
@@ -50,14 +50,14 @@
 }
 
 func serve(s settings.Settings, logger log.Logger) int {
-	node.TuneRuntime()
+	node.TuneRuntime(s.Runtime)
 	own := log.With(logger, "node", s.Node.ID, "zone", s.Node.Zone) // the node adds both to its own lines
 	listeners, err := node.Listen(s.Listen)
 	if err != nil {
 		level.Error(own).Log("msg", "node cannot start", "err", err)
 		return exitFailure
 	}
-	n := node.New(s, listeners, httpkv.New(s.Platform.Address), logger)
+	n := node.New(s, listeners, kv.New(s.Platform.Address), logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	signals := make(chan os.Signal, 2)
@@ -74,7 +74,7 @@
 }
 
 func newLogger(s settings.Log) log.Logger {
-	w := log.NewSyncWriter(os.Stderr)
+	w := log.NewSyncWriter(os.Stdout)
 	logger := log.NewLogfmtLogger(w)
 	if s.Format == "json" {
 		logger = log.NewJSONLogger(w)
--- a/cmd/rosemaryhatchctl/main.go
+++ b/cmd/rosemaryhatchctl/main.go
@@ -16,7 +16,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/rosemaryhatch/rosemaryhatch/operator"
-	"github.com/rosemaryhatch/rosemaryhatch/platform/httpkv"
+	"github.com/rosemaryhatch/rosemaryhatch/platform/kv"
 )
 
 const programName = "rosemaryhatchctl"
@@ -55,7 +55,7 @@
 	c := &command{
 		flags:  f,
 		app:    app,
-		runner: &operator.Runner{Store: httpkv.New(f.platform)},
+		runner: &operator.Runner{Store: kv.New(f.platform)},
 		out:    operator.Output{Writer: stdout, JSON: f.output == "json"},
 		err:    stderr,
 	}
--- a/internal/faultmatrix/combined.go
+++ b/internal/faultmatrix/combined.go
@@ -36,6 +36,12 @@
 			w.After(15*time.Millisecond, w.Node(Target).DrainBackend)
 			w.After(25*time.Millisecond, func() { floodOf(w, "/bulk", 30) })
 		}, Length: 300 * time.Millisecond, Sampled: true},
+		{Name: "target leaves in a flood", Act: func(w *pump.World) {
+			floodOf(w, "/urgent", 30)
+			request(w, Ingress, "r1", "/dues", "", false)
+			w.After(15*time.Millisecond, w.Node(Target).DeregisterBackend)
+			w.After(25*time.Millisecond, func() { floodOf(w, "/bulk", 30) })
+		}, Length: 700 * time.Millisecond, Sampled: true},
 		regionsScenario,
 	}
 }
@@ -84,7 +90,7 @@
 }
 
 func leaseLapses(w *pump.World) {
-	holder := w.Store.Holder("Larvik")
+	holder := w.Store.Reader("Larvik")
 	holder.Pause()
 	w.Store.LapseLeases()
 	w.After(time.Second, func() { w.Store.Apply(Routes, NextPools) })
--- a/internal/measure/nodes/fleet.go
+++ b/internal/measure/nodes/fleet.go
@@ -10,7 +10,7 @@
 
 	standin "github.com/rosemaryhatch/rosemaryhatch/internal/standin/platform"
 	"github.com/rosemaryhatch/rosemaryhatch/platform"
-	"github.com/rosemaryhatch/rosemaryhatch/platform/httpkv"
+	"github.com/rosemaryhatch/rosemaryhatch/platform/kv"
 )
 
 const (
@@ -29,7 +29,7 @@
 	size        int
 	kv          *standin.Server
 	address     string
-	store       *httpkv.Client
+	store       *kv.Client
 	server      *http.Server
 	children    []*child
 	activations chan activation
@@ -43,7 +43,7 @@
 	f := &fleet{kv: standin.New(), address: listener.Addr().String(), activations: make(chan activation, 1<<16)}
 	f.server = &http.Server{Handler: f.kv}
 	go f.server.Serve(listener)
-	f.store = httpkv.New(f.address)
+	f.store = kv.New(f.address)
 	f.publish()
 	return f
 }
--- a/internal/pump/faults.go
+++ b/internal/pump/faults.go
@@ -1,6 +1,8 @@
 package pump
 
 import (
+	"time"
+
 	"slices"
 	"sort"
 
@@ -118,9 +120,23 @@
 	}
 	n.Backend.Draining = true
 	n.world.History.Drained[n.ID] = n.world.Now
-	n.post(0, reducer.BackendRegistered{
-		Service: n.Service, Address: "10.0.0.2:" + string(n.ID), Slots: n.Backend.Slots, Connections: defaultConns, Draining: true,
-	})
+	n.post(0, n.registration())
+}
+
+// lateReport is how long a registration from before a leave may be on its way.
+const lateReport = 500 * time.Millisecond
+
+// DeregisterBackend makes the backend server say that it leaves, without having drained. A registration that it sent
+// before arrives later.
+func (n *Node) DeregisterBackend() {
+	if !n.Up || n.Backend.Draining || !n.Backend.Up {
+		return
+	}
+	late := n.registration()
+	n.Backend.Draining, n.Backend.silent = true, true
+	n.world.History.Drained[n.ID] = n.world.Now
+	n.post(0, reducer.BackendLeaves{Instance: late.Instance, Born: late.Born})
+	n.after(lateReport, func() { n.reduce(late) })
 }
 
 // KillBackend ends the backend server: what it runs has no known outcome.
--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -13,7 +14,7 @@
 type Store struct {
 	Down  bool          // calls get no answer
 	Slow  time.Duration // added to each call
-	Stale bool          // reads return the document before the newest
+	Stale bool          // lists of nodes show none that has come since
 	// LoseAnswers carries out every call and gives no answer.
 	LoseAnswers bool
 	Calls       int
@@ -23,13 +24,16 @@
 	documents []tables.Document
 	revision  uint64
 	watches   []func()
-	leases    map[string]lease // by zone
+	leases    map[uint64]*lease
+	granted   uint64              // number of the newest lease
+	listed    []reducer.NodeEntry // what a stale list shows
 }
 
+// lease is a lease with the entry of the node that holds it.
 type lease struct {
-	holder  reducer.NodeID
-	address string
-	until   time.Duration
+	until time.Duration
+	ttl   time.Duration
+	entry reducer.NodeEntry // zero until it is announced
 }
 
 // watchWait is how long a watch waits at the store.
@@ -38,7 +42,7 @@
 // watchLook is how often a watch that waits looks whether the store still works.
 const watchLook = 250 * time.Millisecond
 
-func newStore(w *World) *Store { return &Store{world: w, leases: map[string]lease{}} }
+func newStore(w *World) *Store { return &Store{world: w, leases: map[uint64]*lease{}} }
 
 // Heal ends every fault of the store.
 func (s *Store) Heal() {
@@ -99,12 +103,16 @@
 		s.call(n, reducer.StoreRead{Result: reducer.StoreUnknown}, s.read)
 	case reducer.WatchStore:
 		s.watch(n, e, n.world.Now+watchWait)
-	case reducer.ConfirmStore:
-		s.call(n, reducer.StoreConfirmed{Result: reducer.StoreUnknown, Revision: e.Revision}, func() reducer.Input {
-			return s.confirm(e)
-		})
-	case reducer.AcquireLease:
-		s.call(n, reducer.LeaseAnswered{Result: reducer.StoreUnknown}, func() reducer.Input { return s.lease(e) })
+	case reducer.GrantLease:
+		s.call(n, reducer.LeaseGranted{Result: reducer.StoreUnknown}, func() reducer.Input { return s.grant(e) })
+	case reducer.RenewLease:
+		s.call(n, reducer.LeaseRenewed{Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.Input { return s.renew(e) })
+	case reducer.AnnounceNode:
+		s.call(n, reducer.NodeAnnounced{Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.Input { return s.announce(e) })
+	case reducer.ListNodes:
+		s.call(n, reducer.NodesListed{Result: reducer.StoreUnknown}, s.list)
+	case reducer.EndLease:
+		delete(s.leases, e.Lease)
 	default:
 		return false
 	}
@@ -168,47 +176,65 @@
 }
 
 func (s *Store) read() reducer.Input {
-	documents := s.documents
-	if s.Stale && len(documents) > 1 {
-		documents = documents[:len(documents)-1]
+	if len(s.documents) == 0 {
+		return reducer.StoreRead{Result: reducer.StoreAbsent, Revision: s.revision}
 	}
-	if len(documents) == 0 {
-		return reducer.StoreRead{Result: reducer.StoreAbsent}
+	return reducer.StoreRead{Result: reducer.StoreOK, Document: s.documents[len(s.documents)-1], Revision: s.revision}
+}
+
+func (s *Store) grant(e reducer.GrantLease) reducer.Input {
+	s.granted++
+	s.leases[s.granted] = &lease{until: s.world.Now + e.TTL, ttl: e.TTL}
+	return reducer.LeaseGranted{Result: reducer.StoreOK, Lease: s.granted}
+}
+
+// held returns a lease that has not lapsed, or nil.
+func (s *Store) held(id uint64) *lease {
+	if l := s.leases[id]; l != nil && l.until > s.world.Now {
+		return l
 	}
-	revision := s.revision
-	if s.Stale {
-		revision--
+	return nil
+}
+
+func (s *Store) renew(e reducer.RenewLease) reducer.Input {
+	l := s.held(e.Lease)
+	if l == nil {
+		return reducer.LeaseRenewed{Result: reducer.StoreNoLease, Lease: e.Lease}
 	}
-	return reducer.StoreRead{Result: reducer.StoreOK, Document: documents[len(documents)-1], Revision: revision}
+	l.until = s.world.Now + l.ttl
+	return reducer.LeaseRenewed{Result: reducer.StoreOK, Lease: e.Lease}
 }
 
-func (s *Store) confirm(e reducer.ConfirmStore) reducer.Input {
-	if e.Revision != s.revision {
-		return reducer.StoreConfirmed{Result: reducer.StoreConflict, Revision: e.Revision}
+func (s *Store) announce(e reducer.AnnounceNode) reducer.Input {
+	l := s.held(e.Lease)
+	if l == nil {
+		return reducer.NodeAnnounced{Result: reducer.StoreNoLease, Lease: e.Lease}
 	}
-	s.written()
-	return reducer.StoreConfirmed{Result: reducer.StoreOK, Revision: e.Revision}
+	l.entry = e.Entry
+	return reducer.NodeAnnounced{Result: reducer.StoreOK, Lease: e.Lease}
 }
 
-func (s *Store) lease(e reducer.AcquireLease) reducer.Input {
-	held, ok := s.leases[e.Zone]
-	if ok && held.until > s.world.Now && held.holder != e.Holder {
-		return reducer.LeaseAnswered{
-			Result: reducer.StoreConflict, Holder: held.holder, Address: held.address, Remaining: held.until - s.world.Now,
+func (s *Store) list() reducer.Input {
+	if !s.Stale {
+		s.listed = nil
+		for _, id := range slices.Sorted(maps.Keys(s.leases)) {
+			if l := s.held(id); l != nil && l.entry.Node != "" {
+				s.listed = append(s.listed, l.entry)
+			}
 		}
 	}
-	s.leases[e.Zone] = lease{holder: e.Holder, address: e.Address, until: s.world.Now + e.TTL}
-	return reducer.LeaseAnswered{Result: reducer.StoreOK}
+	return reducer.NodesListed{Result: reducer.StoreOK, Nodes: slices.Clone(s.listed)}
 }
 
 // LapseLeases ends every lease at once, also those whose holders believe that they have them.
 func (s *Store) LapseLeases() { clear(s.leases) }
 
-// Holder returns the holder of the lease of a zone's reader, or nil when it has lapsed.
-func (s *Store) Holder(zone string) *Node {
-	held, ok := s.leases[zone]
-	if !ok || held.until <= s.world.Now {
-		return nil
+// Reader returns the node that is the first reader of a zone, or nil when none runs.
+func (s *Store) Reader(zone string) *Node {
+	for _, n := range s.world.Nodes() {
+		if n.Zone == zone && n.Up {
+			return n
+		}
 	}
-	return s.world.nodes[held.holder]
+	return nil
 }
--- a/internal/standin/backend/nested.go
+++ b/internal/standin/backend/nested.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	protocol "github.com/rosemaryhatch/rosemaryhatch/runner/backend"
+	protocol "github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 )
 
 // propagated are the headers that a call on behalf of a request carries on; the time left is counted
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/internal/standin/backend"
-	protocol "github.com/rosemaryhatch/rosemaryhatch/runner/backend"
+	protocol "github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 )
 
 const (
--- a/node/node.go
+++ b/node/node.go
@@ -11,9 +11,11 @@
 
 	"github.com/rosemaryhatch/rosemaryhatch/internal/version"
 	"github.com/rosemaryhatch/rosemaryhatch/platform"
+	"github.com/rosemaryhatch/rosemaryhatch/platform/hosted"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/control"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/ingress"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/operator"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/peer"
@@ -30,6 +32,8 @@
 	// writeTimeout bounds the wait for responses that are being written to slow callers; ingress bounds
 	// each of them.
 	writeTimeout = ingress.WriteTimeout
+	// missedHeartbeats is how many registrations may be missing before the backend server counts as down.
+	missedHeartbeats = 3
 	// traceTimeout bounds the last export of spans.
 	traceTimeout = 2 * time.Second
 )
@@ -96,7 +100,8 @@
 	limits.MaxBodyBytes, limits.MaxQueuedBytes = s.Limits.BodyBytes, s.Limits.QueuedBytes
 	return reducer.Config{
 		Self: reducer.NodeID(s.Node.ID), Zone: s.Node.Zone, Address: s.Listen.PeerAddress(), Operator: s.Listen.Operator,
-		Incarnation: incarnation, Seeds: s.Peers.Seeds, Limits: limits, ShutdownTimeout: s.Shutdown.Timeout,
+		Incarnation: incarnation, Seeds: s.Peers.Seeds, Discover: true, Limits: limits,
+		ShutdownTimeout: s.Shutdown.Timeout, RegistrationTTL: missedHeartbeats * s.Backend.Heartbeat,
 	}
 }
 
@@ -106,7 +111,12 @@
 	self := peer.NewIdentity(s.Node.System, reducer.PeerRef{
 		Node: reducer.NodeID(s.Node.ID), Address: s.Listen.PeerAddress(), Incarnation: incarnation,
 	})
-	n.backend = backend.NewRunner(n.answers)
+	front, from := frontend.FrontEnd(frontend.Native{}), store.OwnTables()
+	if s.Platform.Mode == settings.ModeHosted {
+		front = hosted.FrontEnd{Service: s.Backend.Service}
+		from = store.Tables{Key: hosted.KeyConfig, Decode: hosted.DecodeConfig}
+	}
+	n.backend = backend.NewRunner(n.answers, front)
 	n.peers = peer.NewClient(self, n.thread.Post, n.metrics)
 	n.server = peer.NewServer(self, n.listeners.Peers, &target.Handler{
 		Events: n.thread, Mailboxes: n.mailboxes, Answers: n.answers,
@@ -115,12 +125,11 @@
 	}, n.logger, n.metrics)
 	n.ingress = ingress.NewServer(ingress.Options{
 		Events: n.thread, Mailboxes: n.mailboxes, Answers: n.answers, Forwarder: n.peers, Backend: n.backend,
-		Tracer: n.tracer, Logger: n.logger, Workers: n.workers, Refused: n.metrics.CallerRefused,
+		Front: front, Tracer: n.tracer, Logger: n.logger, Workers: n.workers, Refused: n.metrics.CallerRefused,
 	})
-	n.store = store.New(kv, n.thread.Post)
-	mux := http.NewServeMux()
-	mux.Handle(backend.RegisterPath, backend.RegisterHandler(n.thread))
-	n.register = &http.Server{Handler: mux, ReadTimeout: registerTimeout, WriteTimeout: registerTimeout}
+	n.store = store.New(kv, from, n.thread.Post)
+	registrations := backend.RegisterHandler(n.thread, backend.Expected{Service: s.Backend.Service, Address: s.Backend.Address})
+	n.register = &http.Server{Handler: registrations, ReadTimeout: registerTimeout, WriteTimeout: registerTimeout}
 	var err error
 	if n.operator, err = operator.New(n.thread, n.mailboxes, n.metrics); err != nil {
 		panic(err) // the endpoints are fixed, so building them either always works or never
--- a/node/perform.go
+++ b/node/perform.go
@@ -31,14 +31,6 @@
 		n.answers.Drop(e.Call)
 	case reducer.ConfigureBackend:
 		n.backend.Configure(e)
-	case reducer.ReadStore:
-		n.store.Read(e)
-	case reducer.WatchStore:
-		n.store.Watch(e)
-	case reducer.ConfirmStore:
-		n.store.Confirm(e)
-	case reducer.AcquireLease:
-		n.store.Acquire(e)
 	case reducer.CheckTables:
 		go func() { n.thread.Post(e.Run()) }()
 	case reducer.Publish:
@@ -55,6 +47,9 @@
 	case reducer.StopProcess:
 		close(n.stopped)
 	default:
+		if n.store.Perform(effect) {
+			return nil
+		}
 		panic(fmt.Sprintf("node: effect %T has no runner", effect))
 	}
 	return nil
--- a/operator/example_test.go
+++ b/operator/example_test.go
@@ -22,8 +22,8 @@
 	result := effects[0].(operator.Finish).Result
 	fmt.Println(result.Outcome, "version", result.Version)
 	// Output:
-	// operator.ReadKey config
-	// operator.Swap config at revision 0
+	// operator.ReadKey rosemaryhatch/config
+	// operator.Swap rosemaryhatch/config at revision 0
 	// done version 1
 }
 
--- a/reducer/config.go
+++ b/reducer/config.go
@@ -17,8 +17,8 @@
 // configState is the configuration of this node.
 //
 // Invariants: the number of the active version only grows, and a version is active only when it came
-// from a peer that had it active or from the store, confirmed. A node is therefore ready once it has an
-// active version.
+// from a peer that had it active or from the store. A node is therefore ready once it has an active
+// version.
 type configState struct {
 	active      *tables.Snapshot
 	activeSince time.Duration
@@ -41,18 +41,11 @@
 	id       tables.VersionID
 	document tables.Document // unless delta is set
 	delta    *tables.Delta
-	from     PeerRef // zero when it came from the store
-	stored   storedForm
-	trusted  bool             // from a peer, or confirmed by the store
+	from     PeerRef          // zero when it came from the store
+	stored   bool             // the store was read and held it, so that no newer version was accepted before
 	snapshot *tables.Snapshot // once checked
 }
 
-// storedForm is a document as the store holds it.
-type storedForm struct {
-	raw      []byte
-	revision uint64
-}
-
 // ConfigRefusals counts the versions that were not taken over, by reason.
 type ConfigRefusals struct {
 	Older       uint64
@@ -89,7 +82,13 @@
 // joined reports whether the node knows a peer, or has had the time to find one. A node that took its
 // version from the store before it knew any member would refuse calls that others can serve.
 func (s *State) joined() bool {
-	return s.members.live > 0 || len(s.cfg.Seeds) == 0 || s.now >= joinGrace
+	return s.members.live > 0 || !s.expectsOthers() || s.now >= joinGrace
+}
+
+// expectsOthers reports whether there may be other nodes: seeds are given, the store names some, or it has not
+// said yet that it names none.
+func (s *State) expectsOthers() bool {
+	return len(s.cfg.Seeds) > 0 || len(s.members.join.addresses) > 0 || s.cfg.Discover && !s.platform.listed
 }
 
 // offer considers a version from the store or a peer. Only one that is newer than the active one is
@@ -104,7 +103,7 @@
 	}
 	for _, known := range []*candidate{s.config.checking, s.config.waiting, s.config.start.pending} {
 		if known != nil && known.id == c.id {
-			known.confirmedBy(c)
+			known.stored = known.stored || c.stored
 			s.startProgress()
 			return
 		}
@@ -114,14 +113,6 @@
 	}
 }
 
-// confirmedBy takes over what another offer of the same version adds.
-func (c *candidate) confirmedBy(other *candidate) {
-	c.trusted = c.trusted || other.trusted
-	if other.stored.revision > c.stored.revision {
-		c.stored = other.stored
-	}
-}
-
 // newerThan reports whether an offered version is newer than the one held, and records a refusal when it
 // is not.
 func (s *State) newerThan(id, held tables.VersionID) bool {
@@ -211,7 +202,7 @@
 		return
 	}
 	pending := s.config.start.pending
-	replaces := pending != nil && c.id.Number == pending.id.Number && c.trusted && !pending.trusted
+	replaces := pending != nil && c.id.Number == pending.id.Number && c.stored && !pending.stored
 	if pending == nil || replaces || s.newerThan(c.id, pending.id) {
 		s.config.start.pending = c
 	}
@@ -264,7 +255,7 @@
 	case in.Delta != nil:
 		s.offerDelta(from, in.Delta)
 	default:
-		s.offer(&candidate{id: in.Document.ID(), document: in.Document, from: from, trusted: true})
+		s.offer(&candidate{id: in.Document.ID(), document: in.Document, from: from})
 	}
 	// The version of the last peer to answer is considered before one of those that answered earlier is taken.
 	s.startProgress()
@@ -277,7 +268,7 @@
 		s.fetch(from, delta.ID())
 		return
 	}
-	s.offer(&candidate{id: delta.ID(), delta: delta, from: from, trusted: true})
+	s.offer(&candidate{id: delta.ID(), delta: delta, from: from})
 }
 
 // heardVersion asks a peer for the version in its heartbeat when it is newer than what this node holds or is
--- a/reducer/config_reader.go
+++ b/reducer/config_reader.go
@@ -2,39 +2,35 @@
 
 import "time"
 
-// Figures of the calls to the platform. In steady state the holder makes 0.5 renewals, 0.33 reads and
-// 0.05 watches a second and the other candidate 0.5 attempts, below the 2 calls that a zone may make.
+// Figures of the calls to the platform. In steady state a reader makes one watch in 10 s, and one for each
+// change.
 const (
-	storeReadInterval  = 3 * time.Second
-	storeBackoffFirst  = 250 * time.Millisecond
-	storeBackoffMax    = 4 * time.Second // a version must be active 7 s after the store's return
-	leaseTTL           = 6 * time.Second
-	leaseRenewInterval = 2 * time.Second
-	// leaseTakeOver is how long after the expiry of another holder's lease an attempt is made.
-	leaseTakeOver = 50 * time.Millisecond
+	storeBackoffFirst = 250 * time.Millisecond
+	storeBackoffMax   = time.Second // what lapsed during an outage must be back 2 s after its end
 	// watchInterval bounds the mean rate of watches, because a platform may answer them without waiting. Up to
 	// watchBurst watches that brought news follow each other at once, so that changes in quick succession do
 	// not wait.
-	watchInterval    = time.Second
-	watchBurst       = 5
-	readerCandidates = 2
-	// startSpread spreads the first attempts of nodes that start together.
-	startSpread = 500 * time.Millisecond
+	watchInterval = time.Second
+	watchBurst    = 10
+	// readersPerZone bounds the clients of the platform. A version is active in time when one reader of any
+	// zone works, because peers pass it on; three survive one that is cut off and one that is paused.
+	readersPerZone = 3
+	// readerInterval is how often a node looks whether it is a reader of its zone.
+	readerInterval = time.Second
+	// startSpread spreads the first reads of nodes that start together.
+	startSpread = 100 * time.Millisecond
 )
 
 // readerState is the part of a zone's reader that this node has.
 type readerState struct {
-	leaseUntil time.Duration // end of the lease; 0 when this node does not hold it
-	leaseSent  time.Duration // time of the attempt under way
-	revision   uint64        // highest store revision seen
-	malformed  uint64        // store revision whose malformed value was logged
-	confirming bool
-	lease      platformCall
-	read       platformCall
-	watch      platformCall
+	revision  uint64 // highest revision of the store seen; watches continue from it
+	malformed uint64 // store revision whose malformed value was logged
+	read      platformCall
+	watch     platformCall
 	// watchesPaid is the time at which the watches so far would have been sent at one per watchInterval, as in
 	// the generic cell rate algorithm.
 	watchesPaid time.Duration
+	watchAt     time.Duration // when the next watch may be sent
 }
 
 // platformCall is a kind of call of which one at a time is under way.
@@ -45,113 +41,59 @@
 
 func (c *platformCall) succeeded() { c.backoff = 0 }
 
-// failed doubles the backoff of a call and returns the wait, drawn from the whole of it so that nodes
+// failed doubles the backoff of a call and returns the wait, drawn from the upper half of it so that nodes
 // that failed together do not return together.
 func (s *State) failed(c *platformCall) time.Duration {
 	c.backoff = min(max(2*c.backoff, storeBackoffFirst), storeBackoffMax)
-	return s.jitter(c.backoff)
+	return c.backoff/2 + s.jitter(c.backoff/2)
 }
 
-// firstLeaseDelay is how long a node waits before its first attempt at the lease. One with seeds waits
-// until it may have joined through them, because only then it knows whether it is a candidate.
-func (s *State) firstLeaseDelay() time.Duration {
-	if len(s.cfg.Seeds) > 0 {
-		return startWindow + s.jitter(startSpread)
-	}
-	return s.jitter(startSpread)
-}
-
-// isCandidate reports whether this node may read the tables for its zone: one of the first live nodes.
-func (s *State) isCandidate() bool {
+// isReader reports whether this node watches the tables for its zone: one of its first live nodes. The nodes do
+// not have to agree on them, because further readers do no harm.
+func (s *State) isReader() bool {
 	before := 0
 	for _, m := range s.members.sorted() {
 		if m.Zone != s.cfg.Zone || m.State != MemberAlive {
 			continue
 		}
 		if m.Node == s.cfg.Self {
-			return before < readerCandidates
+			return before < readersPerZone
 		}
 		before++
 	}
 	return false
 }
 
-// holdsLease reports whether this node is the reader of its zone. The lease only saves calls: a reader
-// that believes in a lease that has lapsed does no harm.
-func (s *State) holdsLease() bool {
-	return s.now < s.config.reader.leaseUntil
-}
-
-// leaseDue acquires or renews the lease.
-func (s *State) leaseDue() {
-	reader := &s.config.reader
-	s.timers.set(timerKey{kind: timerLease}, s.now+leaseRenewInterval)
-	if reader.lease.busy || !s.isCandidate() {
-		return
-	}
-	reader.lease.busy = true
-	reader.leaseSent = s.now
-	s.emit(AcquireLease{Zone: s.cfg.Zone, Holder: s.cfg.Self, Address: s.cfg.Address, TTL: leaseTTL})
-}
-
-func (s *State) leaseAnswered(in LeaseAnswered) {
+// readerDue starts to watch when this node has become a reader.
+func (s *State) readerDue() {
+	s.timers.set(timerKey{kind: timerReader}, s.now+readerInterval)
 	reader := &s.config.reader
-	reader.lease.busy = false
-	switch in.Result {
-	case StoreOK:
-		reader.lease.succeeded()
-		s.leaseHeld(reader.leaseSent + leaseTTL)
-	case StoreConflict:
-		reader.lease.succeeded()
-		reader.leaseUntil = 0
-		s.leaseTaken(in)
-	default:
-		s.timers.set(timerKey{kind: timerLease}, s.now+s.failed(&reader.lease))
-	}
-}
-
-// leaseHeld starts to read and to watch when the lease is new.
-func (s *State) leaseHeld(until time.Duration) {
-	held := s.holdsLease()
-	s.config.reader.leaseUntil = until
-	if held || !s.holdsLease() {
-		return
-	}
-	s.log(LevelInfo, "this node reads the tables for its zone")
-	s.timers.set(timerKey{kind: timerStoreRead}, s.now)
-	s.timers.set(timerKey{kind: timerStoreWatch}, s.now+watchInterval)
-	s.startProgress()
-}
-
-// leaseTaken joins through the holder when it is not known here, and tries again when its lease may have
-// expired.
-func (s *State) leaseTaken(in LeaseAnswered) {
-	holder, known := s.members.table[in.Holder]
-	if !known || holder.Address != in.Address || holder.State == MemberDead || holder.State == MemberLeft {
-		s.joinThrough(in.Address)
-	}
-	wait := leaseRenewInterval
-	if in.Remaining > 0 {
-		wait = min(wait, max(in.Remaining+leaseTakeOver, storeBackoffFirst)+s.jitter(leaseTakeOver))
+	switch {
+	case !s.isReader():
+	case reader.revision == 0 && reader.read.backoff == 0:
+		s.storeReadDue()
+	case reader.revision > 0 && reader.watch.backoff == 0:
+		s.storeWatchDue()
 	}
-	s.timers.set(timerKey{kind: timerLease}, s.now+wait)
 }
 
+// storeReadDue reads the tables: at the start, and when a watch cannot tell what has changed.
 func (s *State) storeReadDue() {
 	reader := &s.config.reader
-	if !s.holdsLease() {
+	if reader.read.busy || s.config.active != nil && !s.isReader() {
 		return
 	}
-	s.timers.set(timerKey{kind: timerStoreRead}, s.now+storeReadInterval)
-	if !reader.read.busy {
-		reader.read.busy = true
-		s.emit(ReadStore{})
-	}
+	reader.read.busy = true
+	s.emit(ReadStore{})
 }
 
 func (s *State) storeWatchDue() {
 	reader := &s.config.reader
-	if !s.holdsLease() || reader.watch.busy {
+	if reader.watch.busy || !s.isReader() {
+		return
+	}
+	if reader.watchAt > s.now {
+		s.timers.set(timerKey{kind: timerStoreWatch}, reader.watchAt)
 		return
 	}
 	reader.watch.busy = true
@@ -159,7 +101,7 @@
 	s.emit(WatchStore{After: reader.revision})
 }
 
-// nextWatch returns when the next watch may be sent after one that brought news or did not.
+// nextWatch returns when the next watch may be sent after an answer that brought news or did not.
 func (s *State) nextWatch(news bool) time.Duration {
 	at := s.config.reader.watchesPaid
 	if news {
@@ -170,19 +112,32 @@
 
 func (s *State) storeRead(in StoreRead) {
 	reader := &s.config.reader
-	call, timer, next := &reader.read, timerKey{kind: timerStoreRead}, s.now+storeReadInterval
+	call, timer := &reader.read, timerKey{kind: timerStoreRead}
 	if in.Watch {
-		call, timer, next = &reader.watch, timerKey{kind: timerStoreWatch}, s.nextWatch(in.Revision > reader.revision)
+		call, timer = &reader.watch, timerKey{kind: timerStoreWatch}
 	}
 	call.busy = false
+	s.storeAnswered(in.Result != StoreUnknown)
 	switch in.Result {
-	case StoreOK, StoreAbsent, StoreMalformed:
+	case StoreOK, StoreAbsent, StoreMalformed, StoreUnchanged:
 		call.succeeded()
-		s.timers.set(timer, next)
+		if in.Watch {
+			reader.watchAt = s.nextWatch(in.Revision > reader.revision)
+		}
+		s.storeHolds(in)
+		s.timers.set(timerKey{kind: timerStoreWatch}, max(s.now, reader.watchAt))
+		if s.config.active == nil && in.Result == StoreAbsent {
+			s.timers.set(timerKey{kind: timerStoreRead}, s.now+storeBackoffMax)
+		}
+	case StoreHistoryGone:
+		call.succeeded()
+		s.timers.set(timerKey{kind: timerStoreRead}, s.now)
 	default:
 		s.timers.set(timer, s.now+s.failed(call))
+		if in.Watch { // the change that the watch was to report may have come meanwhile
+			s.timers.set(timerKey{kind: timerStoreRead}, s.now)
+		}
 	}
-	s.storeHolds(in)
 }
 
 // storeHolds considers what the store was found to hold.
@@ -191,9 +146,7 @@
 	reader.revision = max(reader.revision, in.Revision)
 	switch in.Result {
 	case StoreOK:
-		s.offer(&candidate{
-			id: in.Document.ID(), document: in.Document, stored: storedForm{raw: in.Raw, revision: in.Revision},
-		})
+		s.offer(&candidate{id: in.Document.ID(), document: in.Document, stored: true})
 	case StoreMalformed:
 		s.config.refusals.Malformed++
 		if reader.malformed != in.Revision {
--- a/reducer/config_start.go
+++ b/reducer/config_start.go
@@ -21,8 +21,8 @@
 
 // startState is how a node that holds no version finds the newest one. It asks its peers and takes the
 // highest version of those that answer, so that a restarted node does not show an older version than
-// before when one of them is behind. The store's document counts only when a peer has shown that it is
-// not older, or when the store has confirmed it.
+// before when one of them is behind. The store's document counts at once, because its reads are
+// linearizable.
 type startState struct {
 	begun    bool
 	since    time.Duration // start of the wait for peers
@@ -39,7 +39,8 @@
 	if !s.config.start.begun {
 		s.config.start.begun = true
 		s.config.start.since = s.now
-		s.timers.set(timerKey{kind: timerLease}, s.now+s.firstLeaseDelay())
+		s.timers.set(timerKey{kind: timerStoreRead}, s.now+s.jitter(startSpread))
+		s.timers.set(timerKey{kind: timerReader}, s.now+readerInterval)
 	}
 	s.askPeers(s.newestOffered())
 	s.timers.set(timerKey{kind: timerConfigStart}, s.now+startAskInterval)
@@ -79,11 +80,11 @@
 	}
 }
 
-// newestOffered returns the newest version that a peer has sent, or the store has confirmed, of those that are
-// not active yet.
+// newestOffered returns the newest version that a peer has sent, or the store holds, of those that are not active
+// yet.
 func (s *State) newestOffered() (newest tables.VersionID) {
 	for _, c := range []*candidate{s.config.checking, s.config.waiting, s.config.start.pending} {
-		if c != nil && c.trusted && c.id.Newer(newest) {
+		if c != nil && c.id.Newer(newest) {
 			newest = c.id
 		}
 	}
@@ -119,52 +120,12 @@
 	return len(peers) > 0
 }
 
-// startProgress activates the first version, or asks the store to confirm it.
+// startProgress activates the first version: the store's at once, that of peers when all have answered.
 func (s *State) startProgress() {
 	c := s.config.start.pending
-	if s.config.active != nil || c == nil || s.config.checking != nil || !s.peersAnswered() {
+	if s.config.active != nil || c == nil || s.config.checking != nil || !c.stored && !s.peersAnswered() {
 		return
 	}
-	if c.trusted || s.config.start.peerSeen {
-		s.config.start.pending = nil
-		s.activate(c, tables.Delta{})
-		return
-	}
-	s.confirm(c)
-}
-
-// confirm writes the store's document unchanged at the revision read, which fails when the read was
-// stale. Only the holder of the reader's lease does, so that nodes that start together do not all write.
-func (s *State) confirm(c *candidate) {
-	reader := &s.config.reader
-	if !s.holdsLease() || reader.confirming || c.stored.revision == 0 {
-		return
-	}
-	reader.confirming = true
-	s.emit(ConfirmStore{Raw: c.stored.raw, Revision: c.stored.revision})
-}
-
-func (s *State) storeConfirmed(in StoreConfirmed) {
-	reader := &s.config.reader
-	reader.confirming = false
-	c := s.config.start.pending
-	if s.config.active != nil || c == nil || c.stored.revision != in.Revision {
-		s.startProgress()
-		return
-	}
-	switch in.Result {
-	case StoreOK:
-		reader.read.succeeded()
-		c.trusted = true
-		s.startProgress()
-	case StoreConflict:
-		// The store holds another document, which may even have a lower number: start again from it.
-		s.config.start.pending = nil
-		s.timers.set(timerKey{kind: timerStoreRead}, s.now)
-	default:
-		// The write may have taken effect. The document counts once a write at the revision read back is
-		// known to have been applied: a revision alone may be stale or the work of another node.
-		c.stored = storedForm{}
-		s.timers.set(timerKey{kind: timerStoreRead}, s.now+s.failed(&reader.read))
-	}
+	s.config.start.pending = nil
+	s.activate(c, tables.Delta{})
 }
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -54,6 +54,7 @@
 	KeyRetention time.Duration
 	TimeLeft     time.Duration
 	Limits       CallLimits
+	RequestID    string
 }
 
 // Probe checks that the connection of a forwarded attempt still answers, within Timeout. A connection
@@ -90,6 +91,7 @@
 	Call     Handle
 	ID       CallID
 	Address  string
+	Instance string        // the life of the backend server that may run it; empty allows any
 	TimeLeft time.Duration // what the backend server is told
 	Bound    time.Duration // when the request is given up; longer than TimeLeft for a call that runs on
 	Limits   CallLimits
@@ -152,21 +154,24 @@
 // WatchStore waits at the platform for a document after a revision.
 type WatchStore struct{ After uint64 }
 
-// ConfirmStore writes a document unchanged at the revision at which it was read, so that the write fails
-// when the document is not the newest.
-type ConfirmStore struct {
-	Raw      []byte
-	Revision uint64
-}
+// GrantLease asks the platform for a lease.
+type GrantLease struct{ TTL time.Duration }
+
+// RenewLease starts the TTL of a lease anew.
+type RenewLease struct{ Lease uint64 }
+
+// EndLease ends a lease and removes the entry that it holds. Its result is not reported.
+type EndLease struct{ Lease uint64 }
 
-// AcquireLease acquires or renews the lease of a zone's reader.
-type AcquireLease struct {
-	Zone    string
-	Holder  NodeID
-	Address string // peer address, told to those that do not get the lease
-	TTL     time.Duration
+// AnnounceNode writes the entry of this node, which lasts as long as the lease.
+type AnnounceNode struct {
+	Lease uint64
+	Entry NodeEntry
 }
 
+// ListNodes reads the entries of all nodes, which may be seconds old.
+type ListNodes struct{}
+
 // CheckTables parses and checks a version outside the control thread: a document, or a delta to the base.
 type CheckTables struct {
 	Document tables.Document // unless Delta is set
@@ -194,14 +199,17 @@
 
 // CallFinished reports an arrived call for metrics, logs and traces.
 type CallFinished struct {
-	Call     Handle
-	ID       CallID
-	Route    string
-	Priority int
-	Outcome  Outcome
-	Reason   Reason
-	Attempts int
-	Elapsed  time.Duration
+	Call      Handle
+	ID        CallID
+	RequestID string
+	Target    NodeID // of the last attempt; empty when there was none
+	Version   uint64 // of the tables that the call was handled by
+	Route     string
+	Priority  int
+	Outcome   Outcome
+	Reason    Reason
+	Attempts  int
+	Elapsed   time.Duration
 }
 
 // CallQueued reports how long a call waited at this node for a slot.
@@ -258,8 +266,11 @@
 func (ConfigureBackend) effect() {}
 func (ReadStore) effect()        {}
 func (WatchStore) effect()       {}
-func (ConfirmStore) effect()     {}
-func (AcquireLease) effect()     {}
+func (GrantLease) effect()       {}
+func (RenewLease) effect()       {}
+func (EndLease) effect()         {}
+func (AnnounceNode) effect()     {}
+func (ListNodes) effect()        {}
 func (CheckTables) effect()      {}
 func (Publish) effect()          {}
 func (Send) effect()             {}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -38,6 +38,7 @@
 	Depth          int           // calls that this one is nested in
 	RetriesLeft    int           // retries left of the outer call; -1 when there is none
 	Parent         CallID        // the outer call; zero when it is not known
+	RequestID      string        // by which the caller knows the request; for logs only
 }
 
 // BodyRead reports that the request body has been read, or why not.
@@ -117,6 +118,7 @@
 	TargetIncarnation Incarnation
 	BodyBytes         int64
 	Limits            CallLimits
+	RequestID         string // by which the caller knows the request; for logs only
 }
 
 // ForwarderGone reports that the connection on which a forwarded call arrived was closed.
@@ -145,11 +147,12 @@
 
 // The ways in which a request to the backend server ends.
 const (
-	BackendAnswered BackendResult = iota + 1 // a whole response arrived
-	BackendShed                              // the backend server says that it did not run the request
-	BackendNotSent                           // no byte of the request was sent
-	BackendFailed                            // the connection failed after the request may have been sent
-	BackendAborted                           // ended by AbortBackend or the deadline
+	BackendAnswered    BackendResult = iota + 1 // a whole response arrived
+	BackendShed                                 // the backend server says that it did not run the request
+	BackendNotSent                              // no byte of the request was sent
+	BackendFailed                               // the connection failed after the request may have been sent
+	BackendAborted                              // ended by AbortBackend or the deadline
+	BackendMisdirected                          // another backend server has the address; it did not run the request
 )
 
 // BackendDone reports the end of a request that StartBackend began.
@@ -164,12 +167,23 @@
 
 // BackendRegistered is the registration, and each second the heartbeat, of the backend server beside
 // this node.
+//
+// Registrations are ordered by Born and then by Sequence; one that is older than the newest seen changes
+// nothing. Without both they count in the order of their arrival.
 type BackendRegistered struct {
-	Service     string
-	Address     string // IP:port
-	Slots       int
-	Connections int
-	Draining    bool
+	Service  string
+	Address  string // IP:port
+	Slots    int
+	Draining bool
+	Instance string // names the life of the backend server
+	Born     int64  // start of the life in Unix milliseconds, 0 when it is not known
+	Sequence uint64 // grows within one life, 0 when it is not known
+}
+
+// BackendLeaves reports that the backend server has said that it leaves. It gets no new calls.
+type BackendLeaves struct {
+	Instance string
+	Born     int64 // 0 when it is not known
 }
 
 // TimerDue reports that the time named by the last WakeAt effect has come.
@@ -186,23 +200,39 @@
 	Result   StoreResult
 	Watch    bool
 	Document tables.Document // when found
-	Raw      []byte          // the document as it is stored
-	Revision uint64
-	Problem  string // when malformed
+	Revision uint64          // of the store, from which a watch continues
+	Problem  string          // when malformed
 }
 
-// StoreConfirmed reports the result of a ConfirmStore effect.
-type StoreConfirmed struct {
-	Result   StoreResult
-	Revision uint64 // at which the document was read
+// LeaseGranted reports the result of a GrantLease effect.
+type LeaseGranted struct {
+	Result StoreResult
+	Lease  uint64
+}
+
+// LeaseRenewed reports the result of a RenewLease effect.
+type LeaseRenewed struct {
+	Result StoreResult
+	Lease  uint64
+}
+
+// NodeAnnounced reports the result of an AnnounceNode effect.
+type NodeAnnounced struct {
+	Result StoreResult
+	Lease  uint64
+}
+
+// NodesListed reports the result of a ListNodes effect.
+type NodesListed struct {
+	Result StoreResult
+	Nodes  []NodeEntry
 }
 
-// LeaseAnswered reports the result of an AcquireLease effect.
-type LeaseAnswered struct {
-	Result    StoreResult
-	Holder    NodeID        // on conflict
-	Address   string        // peer address of the holder
-	Remaining time.Duration // until the holder's lease expires; 0 when it is not known
+// NodeEntry is how a node can be reached, as the platform's store holds it.
+type NodeEntry struct {
+	Node    NodeID `json:"node"`
+	Zone    string `json:"zone"`
+	Address string `json:"address"` // IP:port of the peer listener
 }
 
 // StoreResult says how a call to the platform's store ended.
@@ -212,9 +242,11 @@
 const (
 	StoreOK StoreResult = iota + 1
 	StoreAbsent
-	StoreConflict  // compare-and-swap or lease not applied
-	StoreUnknown   // no answer in time, or a broken one
-	StoreMalformed // the value is not a document
+	StoreUnchanged   // a watch saw no change
+	StoreHistoryGone // the store cannot tell what has changed
+	StoreNoLease     // the lease has ended
+	StoreUnknown     // no answer in time, or a broken one
+	StoreMalformed   // the value is not a document
 )
 
 // TablesChecked reports the result of a CheckTables effect.
@@ -265,12 +297,15 @@
 func (CancelArrived) input()     {}
 func (BackendDone) input()       {}
 func (BackendRegistered) input() {}
+func (BackendLeaves) input()     {}
 func (TimerDue) input()          {}
 func (ShutdownRequested) input() {}
 func (StatusRequested) input()   {}
 func (StoreRead) input()         {}
-func (StoreConfirmed) input()    {}
-func (LeaseAnswered) input()     {}
+func (LeaseGranted) input()      {}
+func (LeaseRenewed) input()      {}
+func (NodeAnnounced) input()     {}
+func (NodesListed) input()       {}
 func (TablesChecked) input()     {}
 func (HandOverDone) input()      {}
 func (RecordsArrived) input()    {}
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -38,17 +38,20 @@
 // Invariant: at most one attempt may be executing at any time when the route is not idempotent. The
 // next attempt starts only after the one before was answered as not run, fenced, or never sent.
 type ingressCall struct {
-	handle  Handle
-	id      CallID
-	route   tables.Route
-	key     string
-	limits  CallLimits
-	phase   ingressPhase
-	attempt int
-	target  PeerRef
-	tried   []NodeID
-	retries int    // retries still allowed
-	parent  CallID // the call that it was made on behalf of; zero when not known
+	handle Handle
+	id     CallID
+	route  tables.Route
+	key    string
+	limits CallLimits
+	// requestID is what the caller calls the request, and version the tables by which it is handled.
+	requestID string
+	version   uint64
+	phase     ingressPhase
+	attempt   int
+	target    PeerRef
+	tried     []NodeID
+	retries   int    // retries still allowed
+	parent    CallID // the call that it was made on behalf of; zero when not known
 	// overloadRetried is set once a refusal under load was considered for its one retry.
 	overloadRetried bool
 	reserved        int64
@@ -88,7 +91,7 @@
 		in.FirstAttempt = s.claimsFirst(in)
 		outcome := in.RefusalOutcome()
 		s.emit(Respond{Call: in.Call, Outcome: outcome, Reason: reason, RetryAfter: retryAfter(reason)})
-		s.emit(CallFinished{Call: in.Call, Route: route.Name, Priority: route.Priority, Outcome: outcome, Reason: reason})
+		s.emit(CallFinished{Call: in.Call, RequestID: in.RequestID, Version: s.config.active.ID().Number, Route: route.Name, Priority: route.Priority, Outcome: outcome, Reason: reason})
 		return
 	}
 	call := s.newIngressCall(in, route)
@@ -124,7 +127,26 @@
 	case s.ingress.reserved+bodyReserve(in.BodyBytes, route) > s.cfg.Limits.MaxBodyBytes:
 		return *route, ReasonOverloaded
 	}
-	return *route, ReasonNone
+	chosen := *route
+	if len(route.Split) > 0 {
+		chosen.Pool = s.drawPool(route.Split)
+	}
+	return chosen, ReasonNone
+}
+
+// drawPool returns one of the pools that share a route, at random by their weights.
+func (s *State) drawPool(split []tables.Share) string {
+	sum := 0
+	for _, share := range split {
+		sum += share.Weight
+	}
+	draw := s.random(sum)
+	for _, share := range split {
+		if draw -= share.Weight; draw < 0 {
+			return share.Pool
+		}
+	}
+	panic("reducer: a split without weights passed its check")
 }
 
 // bodyReserve returns the bytes to reserve for a body; one of unknown length may reach the limit.
@@ -146,6 +168,8 @@
 		id:           CallID{Origin: s.cfg.Self, Incarnation: s.cfg.Incarnation, Seq: s.ingress.seq},
 		route:        route,
 		limits:       CallLimits{Depth: in.Depth + 1},
+		requestID:    in.RequestID,
+		version:      s.config.active.ID().Number,
 		retries:      allowedRetries(in, route.Retries),
 		parent:       in.Parent,
 		reserved:     bodyReserve(in.BodyBytes, &route),
@@ -220,7 +244,7 @@
 		Call: call.handle, Attempt: call.attempt, To: call.target, ID: call.id,
 		Route: call.route.Name, Pool: call.route.Pool, Priority: call.route.Priority,
 		Idempotent: call.route.Idempotent, Key: call.key, KeyRetention: call.route.KeyRetention,
-		TimeLeft: left, Limits: call.limits,
+		TimeLeft: left, Limits: call.limits, RequestID: call.requestID,
 	})
 	s.timers.set(timerKey{kind: timerIngressProbe, call: call.handle}, s.nextCheck(call))
 }
@@ -437,7 +461,8 @@
 	s.timers.cancel(timerKey{kind: timerIngressSettle, call: call.handle})
 	s.timers.cancel(timerKey{kind: timerIngressProbe, call: call.handle})
 	s.emit(CallFinished{
-		Call: call.handle, ID: call.id, Route: call.route.Name, Priority: call.route.Priority,
+		Call: call.handle, ID: call.id, RequestID: call.requestID, Target: call.target.Node, Version: call.version,
+		Route: call.route.Name, Priority: call.route.Priority,
 		Outcome: outcome, Reason: reason, Attempts: call.attempt, Elapsed: s.now - call.arrivedAt,
 	})
 	s.shutdownProgress()
--- a/reducer/keyowner.go
+++ b/reducer/keyowner.go
@@ -230,7 +230,7 @@
 // knowsNobody reports whether this node has seeds and has never heard of another node: the others may be serving
 // beyond a partition that is older than this process.
 func (s *State) knowsNobody() bool {
-	return len(s.cfg.Seeds) > 0 && len(s.members.sorted()) == 1
+	return s.expectsOthers() && len(s.members.sorted()) == 1
 }
 
 // mayHaveMissedPartition reports whether an upstream that counts as alive may have been serving beyond a
--- a/reducer/members_join.go
+++ b/reducer/members_join.go
@@ -21,7 +21,7 @@
 
 // awaitsTable reports whether this node waits for its first table.
 func (s *State) awaitsTable() bool {
-	return !s.members.join.given && s.now < tableWait && len(s.cfg.Seeds) > 0
+	return !s.members.join.given && s.now < tableWait && s.expectsOthers()
 }
 
 // joinState is the search for a first peer.
@@ -36,7 +36,7 @@
 // maxJoinAddresses bounds the learned addresses; the newest are kept.
 const maxJoinAddresses = 4
 
-// joinThrough adds an address to join through, such as that of the holder of the zone's lease. An address
+// joinThrough adds an address to join through, such as one that the platform's store names. An address
 // that belongs to no live member is asked at once, also by a node that has peers: it may be in another
 // group of nodes that does not know of this one.
 func (s *State) joinThrough(address string) {
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -37,8 +37,10 @@
 	Operator        string // IP:port of the operator endpoints
 	Incarnation     Incarnation
 	Seeds           []string // peer addresses of nodes to join through
+	Discover        bool     // nodes find each other through the platform's store
 	Limits          Limits
 	ShutdownTimeout time.Duration // bound of a graceful shutdown
+	RegistrationTTL time.Duration // of the backend server beside this node; 0 is the default
 	// Tables is the version that the node starts with, when whoever embeds the state distributes the
 	// tables in another way; nil for a node that learns them.
 	Tables     *tables.Snapshot
@@ -61,6 +63,7 @@
 	target   targetState
 	owners   ownerState
 	shutdown shutdownState
+	platform platformState
 }
 
 // New returns the state of a node that has just started. The first event that it is given starts its
@@ -75,6 +78,10 @@
 	s.target.queue.discipline = cfg.Discipline
 	s.timers.set(timerKey{kind: timerHeartbeat}, 0)
 	s.timers.set(timerKey{kind: timerConfigStart}, 0)
+	if cfg.Discover {
+		s.timers.set(timerKey{kind: timerAnnounce}, 0)
+		s.timers.set(timerKey{kind: timerListNodes}, 0)
+	}
 	return s
 }
 
@@ -120,6 +127,8 @@
 		s.backendDone(in)
 	case BackendRegistered:
 		s.backendRegistered(in)
+	case BackendLeaves:
+		s.backendLeaves(in)
 	case TimerDue:
 		// The timers that are due fire with every event.
 	case ShutdownRequested:
@@ -128,10 +137,14 @@
 		s.emit(AnswerStatus{Exchange: in.Exchange, Status: s.status()})
 	case StoreRead:
 		s.storeRead(in)
-	case StoreConfirmed:
-		s.storeConfirmed(in)
-	case LeaseAnswered:
-		s.leaseAnswered(in)
+	case LeaseGranted:
+		s.leaseGranted(in)
+	case LeaseRenewed:
+		s.leaseRenewed(in)
+	case NodeAnnounced:
+		s.nodeAnnounced(in)
+	case NodesListed:
+		s.nodesListed(in)
 	case TablesChecked:
 		s.tablesChecked(in)
 	case HandOverDone:
@@ -181,8 +194,12 @@
 		s.storeReadDue()
 	case timerStoreWatch:
 		s.storeWatchDue()
-	case timerLease:
-		s.leaseDue()
+	case timerReader:
+		s.readerDue()
+	case timerAnnounce:
+		s.announceDue()
+	case timerListNodes:
+		s.listNodesDue()
 	case timerConfigStart:
 		s.startAskDue()
 	case timerSuspicion:
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -27,6 +27,7 @@
 	local      bool // it entered at this node
 	abandoned  bool // nobody waits for it; its record still does
 	limits     CallLimits
+	requestID  string
 	bytes      int64
 	phase      targetPhase
 	record     *record       // nil for idempotent calls
@@ -69,7 +70,7 @@
 	return &targetCall{
 		handle: call.handle, id: call.id, attempt: call.attempt, route: call.route.Name, key: call.key,
 		keyRetention: call.route.KeyRetention, pool: call.route.Pool, priority: call.route.Priority,
-		idempotent: call.route.Idempotent, local: true, limits: call.limits, bytes: call.reserved,
+		idempotent: call.route.Idempotent, local: true, limits: call.limits, bytes: call.reserved, requestID: call.requestID,
 		deadline: call.deadline,
 	}
 }
@@ -78,7 +79,7 @@
 	call := &targetCall{
 		handle: in.Call, id: in.ID, attempt: max(in.Attempt, 1), route: in.Route, key: in.Key,
 		keyRetention: in.KeyRetention, pool: in.Pool, priority: min(max(in.Priority, 0), tables.Priorities-1),
-		idempotent: in.Idempotent, limits: in.Limits, bytes: in.BodyBytes, deadline: s.now + in.TimeLeft,
+		idempotent: in.Idempotent, limits: in.Limits, requestID: in.RequestID, bytes: in.BodyBytes, deadline: s.now + in.TimeLeft,
 		arrivedAt: s.now,
 	}
 	if in.TargetIncarnation != s.cfg.Incarnation {
@@ -137,7 +138,7 @@
 		bound = tables.MaxTimeout
 	}
 	s.emit(StartBackend{
-		Call: call.handle, ID: call.id, Address: s.backend.address, TimeLeft: left, Bound: bound,
+		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Bound: bound,
 		Limits: call.limits, KeepAnswer: call.record != nil,
 	})
 }
@@ -152,6 +153,9 @@
 	s.removeTarget(call)
 	outcome, reason := backendOutcome(in.Result)
 	s.conclude(call, outcome, reason, in)
+	if in.Result == BackendMisdirected {
+		s.backendMisdirected()
+	}
 	s.startCalls()
 	s.shutdownProgress()
 }
@@ -181,6 +185,8 @@
 		return OutcomeDone, ReasonNone
 	case BackendShed:
 		return OutcomeNotRun, ReasonShed
+	case BackendMisdirected:
+		return OutcomeNotRun, ReasonOtherBackend
 	case BackendNotSent:
 		return OutcomeNotRun, ReasonBackendUnreachable
 	case BackendAborted:
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -20,7 +20,9 @@
 	timerRegistration
 	timerStoreRead
 	timerStoreWatch
-	timerLease
+	timerReader
+	timerAnnounce
+	timerListNodes
 	timerConfigStart
 	timerSuspicion
 	timerShutdown
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -107,6 +107,7 @@
 	ReasonKeyOwnerLost
 	ReasonKeyMoved
 	ReasonForgotten
+	ReasonOtherBackend // another backend server has the address
 	reasonCount
 )
 
@@ -114,7 +115,7 @@
 	"none", "not_ready", "no_route", "no_upstream", "overloaded", "deadline", "queue_full",
 	"body_too_large", "body_incomplete", "too_deep", "leaving", "draining", "wrong_incarnation",
 	"fenced", "records_full", "shed", "backend_unreachable", "backend_failed", "peer_unreachable",
-	"caller_gone", "key_owner_lost", "key_moved", "forgotten",
+	"caller_gone", "key_owner_lost", "key_moved", "forgotten", "other_backend",
 }
 
 func (r Reason) String() string {
--- a/runner/backend/runner.go
+++ b/runner/backend/runner.go
@@ -1,3 +1,4 @@
+// Package backend sends requests to the backend server beside the node and takes its registrations.
 package backend
 
 import (
@@ -5,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
 
@@ -15,16 +17,17 @@
 type Runner struct {
 	client  atomic.Pointer[Client]
 	answers *traffic.Answers
+	front   frontend.FrontEnd
 }
 
 // NewRunner returns a runner that keeps responses in answers.
-func NewRunner(answers *traffic.Answers) *Runner {
-	return &Runner{answers: answers}
+func NewRunner(answers *traffic.Answers, front frontend.FrontEnd) *Runner {
+	return &Runner{answers: answers, front: front}
 }
 
 // Configure replaces the client. Requests under way end on the old one.
 func (r *Runner) Configure(c reducer.ConfigureBackend) {
-	old := r.client.Swap(NewClient(c.MaxConnections))
+	old := r.client.Swap(NewClient(c.Address, c.MaxConnections, r.front))
 	if old != nil {
 		old.Close()
 	}
--- a/runner/ingress/fuzz_test.go
+++ b/runner/frontend/fuzz_test.go
@@ -1,4 +1,4 @@
-package ingress
+package frontend
 
 import (
 	"strings"
--- a/runner/ingress/drain.go
+++ b/runner/ingress/drain.go
@@ -9,8 +9,9 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
 
 const (
@@ -124,22 +125,8 @@
 
 // pending reports whether received bytes wait to be read.
 func (c *callerConn) pending() bool {
-	inner, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := inner.SyscallConn()
-	if err != nil {
-		return false
-	}
-	waiting := false
-	// Control runs although the read deadline has passed.
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		waiting = err == nil && n > 0
-	})
-	return err == nil && waiting
+	arrived, _ := traffic.Peek(c.Conn)
+	return arrived
 }
 
 // connState follows the requests of a connection for net/http.
--- a/runner/ingress/exchange.go
+++ b/runner/ingress/exchange.go
@@ -44,7 +44,7 @@
 // run follows the effects until the caller has its response.
 func (e *exchange) run() {
 	e.responses = map[int]*traffic.Response{}
-	e.request = newRequest(e.r)
+	e.request = e.server.newRequest(e.r)
 	gone := e.r.Context().Done()
 	for {
 		select {
@@ -111,7 +111,7 @@
 		e.stopReading()
 		e.span.Call(effect.ID)
 		e.span.Outcome(effect.Outcome)
-		writeRefusal(e.w, effect)
+		e.server.writeRefusal(e.w, effect)
 		return true
 	case reducer.Deliver:
 		e.span.Call(effect.ID)
@@ -195,5 +195,5 @@
 	default:
 		response = e.server.Answers.Get(effect.AnswerOf)
 	}
-	writeResponse(e.w, e.r.Method, effect.ID, response)
+	e.server.writeResponse(e.w, e.r.Method, effect.ID, response)
 }
--- a/runner/ingress/server.go
+++ b/runner/ingress/server.go
@@ -17,6 +17,7 @@
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/telemetry"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
@@ -57,6 +58,7 @@
 	Answers   *traffic.Answers
 	Forwarder Forwarder
 	Backend   backend.Backend
+	Front     frontend.FrontEnd // the project's own when nil
 	Tracer    *telemetry.Tracer
 	Logger    log.Logger
 	Workers   *traffic.Workers    // for requests that go out; may be nil
@@ -76,6 +78,9 @@
 
 // NewServer returns a server that has not started.
 func NewServer(o Options) *Server {
+	if o.Front == nil {
+		o.Front = frontend.Native{}
+	}
 	if o.Refused == nil {
 		o.Refused = func(string) {}
 	}
@@ -131,10 +136,10 @@
 	}
 	box := s.Mailboxes.Open()
 	defer box.Close()
-	arrived, err := arrival(box.Handle, r)
+	arrived, err := s.arrival(box.Handle, r)
 	if err != nil {
 		s.Refused(reasonBadRequest)
-		writeBadRequest(w, arrived.RefusalOutcome(), err)
+		s.writeBadRequest(w, arrived.RefusalOutcome(), err)
 		return
 	}
 	traced, span := s.Tracer.Server(context.WithoutCancel(r.Context()), telemetry.SpanCall, r.Header)
@@ -143,7 +148,7 @@
 	if !s.Events.Arrive(arrived) {
 		decision.End()
 		s.Refused(reducer.ReasonOverloaded.String())
-		writeRefusal(w, reducer.Respond{Outcome: arrived.RefusalOutcome(), Reason: reducer.ReasonOverloaded})
+		s.writeRefusal(w, reducer.Respond{Outcome: arrived.RefusalOutcome(), Reason: reducer.ReasonOverloaded})
 		return
 	}
 	ctx, cancel := context.WithCancel(traced)
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -80,6 +80,7 @@
 	TargetIncarnation uint64
 	Depth             int
 	RetriesLeft       int
+	RequestID         string
 
 	Method string
 	URI    string
@@ -128,7 +129,8 @@
 		ID: wireID(f.ID), Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority,
 		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: int64(f.KeyRetention), TimeLeft: int64(f.TimeLeft),
 		TargetIncarnation: uint64(f.To.Incarnation), Depth: f.Limits.Depth, RetriesLeft: f.Limits.RetriesLeft,
-		Method: request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
+		RequestID: f.RequestID,
+		Method:    request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
 	}
 }
 
@@ -137,7 +139,7 @@
 		Call: call, ID: a.ID.value(), Attempt: a.Attempt, Route: a.Route, Pool: a.Pool, Priority: a.Priority,
 		Idempotent: a.Idempotent, Key: a.Key, KeyRetention: time.Duration(a.KeyRetention),
 		TimeLeft: time.Duration(a.TimeLeft), TargetIncarnation: reducer.Incarnation(a.TargetIncarnation),
-		BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
+		RequestID: a.RequestID, BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
 	}
 }
 
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -1,11 +1,12 @@
-// Package store carries out the effects that concern the platform's key-value service, each in a
-// goroutine of its own and with a deadline. It repeats nothing: what a failed call leads to is decided by
-// the reducer.
+// Package store carries out the effects that concern the platform's key-value store, each in a goroutine
+// of its own and with a deadline. It repeats nothing: what a failed call leads to is decided by the
+// reducer.
 package store
 
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -15,16 +16,37 @@
 )
 
 const (
-	callTimeout = 2 * time.Second
+	callTimeout = time.Second
 	// watchWait is how long the platform is asked to keep a watch waiting.
-	watchWait = 20 * time.Second
+	watchWait = 10 * time.Second
 	// watchMargin is the time beyond watchWait after which a watch counts as silent.
 	watchMargin = 2 * time.Second
 )
 
+// Tables says where the platform holds the tables and how they are read.
+type Tables struct {
+	Key    string
+	Decode func(value []byte) (tables.Document, error)
+}
+
+// OwnTables returns the tables that rosemaryhatchctl writes.
+func OwnTables() Tables { return Tables{Key: platform.KeyConfig, Decode: decodeDocument} }
+
+func decodeDocument(value []byte) (tables.Document, error) {
+	var document tables.Document
+	if err := json.Unmarshal(value, &document); err != nil {
+		return tables.Document{}, err
+	}
+	if document.Version == 0 {
+		return tables.Document{}, errors.New("the document has no version")
+	}
+	return document, nil
+}
+
 // Runner carries out platform effects.
 type Runner struct {
 	store  platform.Store
+	tables Tables
 	post   func(reducer.Input) bool
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -32,9 +54,9 @@
 }
 
 // New returns a runner that posts results as events.
-func New(store platform.Store, post func(reducer.Input) bool) *Runner {
+func New(store platform.Store, from Tables, post func(reducer.Input) bool) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Runner{store: store, post: post, ctx: ctx, cancel: cancel}
+	return &Runner{store: store, tables: from, post: post, ctx: ctx, cancel: cancel}
 }
 
 // Close ends the calls under way and waits for their goroutines.
@@ -43,41 +65,36 @@
 	r.work.Wait()
 }
 
-// Read carries out a ReadStore effect.
-func (r *Runner) Read(reducer.ReadStore) {
-	r.run(callTimeout, func(ctx context.Context) reducer.Input {
-		return readResult(r.store.Get(ctx, platform.KeyConfig))
-	})
-}
-
-// Watch carries out a WatchStore effect.
-func (r *Runner) Watch(e reducer.WatchStore) {
-	r.run(watchWait+watchMargin, func(ctx context.Context) reducer.Input {
-		read := readResult(r.store.Watch(ctx, platform.KeyConfig, e.After, watchWait))
-		read.Watch = true
-		return read
-	})
-}
-
-// Confirm carries out a ConfirmStore effect.
-func (r *Runner) Confirm(e reducer.ConfirmStore) {
-	r.run(callTimeout, func(ctx context.Context) reducer.Input {
-		outcome, _, _ := r.store.CompareAndSwap(ctx, platform.KeyConfig, e.Revision, e.Raw)
-		return reducer.StoreConfirmed{Result: writeResult(outcome), Revision: e.Revision}
-	})
-}
-
-// Acquire carries out an AcquireLease effect.
-func (r *Runner) Acquire(e reducer.AcquireLease) {
-	r.run(callTimeout, func(ctx context.Context) reducer.Input {
-		lease := platform.Lease{Holder: string(e.Holder), Value: e.Address, TTL: e.TTL}
-		outcome, held, _ := r.store.AcquireLease(ctx, platform.KeyReaderPrefix+e.Zone, lease)
-		answered := reducer.LeaseAnswered{Result: writeResult(outcome)}
-		if outcome == platform.NotApplied {
-			answered.Holder, answered.Address, answered.Remaining = reducer.NodeID(held.Holder), held.Value, held.TTL
-		}
-		return answered
-	})
+// Perform carries out an effect and reports whether it concerns the platform's store.
+func (r *Runner) Perform(effect reducer.Effect) bool {
+	switch e := effect.(type) {
+	case reducer.ReadStore:
+		r.run(callTimeout, r.read)
+	case reducer.WatchStore:
+		r.run(watchWait+watchMargin, func(ctx context.Context) reducer.Input { return r.watch(ctx, e) })
+	case reducer.GrantLease:
+		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+			lease, err := r.store.GrantLease(ctx, e.TTL)
+			return reducer.LeaseGranted{Result: errorResult(err), Lease: uint64(lease)}
+		})
+	case reducer.RenewLease:
+		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+			outcome, _ := r.store.RenewLease(ctx, platform.LeaseID(e.Lease)) // the outcome says all that counts
+			return reducer.LeaseRenewed{Result: writeResult(outcome), Lease: e.Lease}
+		})
+	case reducer.AnnounceNode:
+		r.run(callTimeout, func(ctx context.Context) reducer.Input { return r.announce(ctx, e) })
+	case reducer.EndLease:
+		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+			_ = r.store.EndLease(ctx, platform.LeaseID(e.Lease)) // it ends by itself otherwise
+			return nil
+		})
+	case reducer.ListNodes:
+		r.run(callTimeout, r.list)
+	default:
+		return false
+	}
+	return true
 }
 
 // run makes one call within its deadline and posts the result.
@@ -85,35 +102,87 @@
 	r.work.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, timeout)
 		defer cancel()
-		r.post(call(ctx))
+		if result := call(ctx); result != nil {
+			r.post(result)
+		}
 	})
 }
 
-func writeResult(outcome platform.WriteOutcome) reducer.StoreResult {
-	switch outcome {
-	case platform.Applied:
-		return reducer.StoreOK
-	case platform.NotApplied:
-		return reducer.StoreConflict
+func (r *Runner) read(ctx context.Context) reducer.Input {
+	entry, err := r.store.Get(ctx, r.tables.Key)
+	if err != nil {
+		return reducer.StoreRead{Result: reducer.StoreUnknown}
+	}
+	return r.readResult(entry)
+}
+
+func (r *Runner) watch(ctx context.Context, e reducer.WatchStore) reducer.Input {
+	outcome, entry, err := r.store.Watch(ctx, r.tables.Key, e.After, watchWait)
+	read := reducer.StoreRead{Result: reducer.StoreUnknown}
+	switch {
+	case err != nil:
+	case outcome == platform.Changed:
+		read = r.readResult(entry)
+	case outcome == platform.HistoryGone:
+		read.Result = reducer.StoreHistoryGone
 	default:
-		return reducer.StoreUnknown
+		read.Result, read.Revision = reducer.StoreUnchanged, entry.Current
 	}
+	read.Watch = true
+	return read
 }
 
 // readResult turns an entry into an event.
-func readResult(entry platform.Entry, err error) reducer.StoreRead {
+func (r *Runner) readResult(entry platform.Entry) reducer.StoreRead {
+	read := reducer.StoreRead{Result: reducer.StoreAbsent, Revision: entry.Current}
+	if entry.Revision == 0 {
+		return read
+	}
+	document, err := r.tables.Decode(entry.Value)
 	if err != nil {
-		return reducer.StoreRead{Result: reducer.StoreUnknown}
+		read.Result, read.Problem = reducer.StoreMalformed, err.Error()
+		return read
 	}
-	if entry.Revision == 0 {
-		return reducer.StoreRead{Result: reducer.StoreAbsent}
+	read.Result, read.Document = reducer.StoreOK, document
+	return read
+}
+
+func (r *Runner) announce(ctx context.Context, e reducer.AnnounceNode) reducer.Input {
+	value, err := json.Marshal(e.Entry)
+	if err != nil {
+		panic(err) // the entry is plain text
 	}
-	var document tables.Document
-	if err := json.Unmarshal(entry.Value, &document); err != nil {
-		return reducer.StoreRead{Result: reducer.StoreMalformed, Revision: entry.Revision, Problem: err.Error()}
+	outcome, _ := r.store.PutLeased(ctx, platform.KeyNodePrefix+string(e.Entry.Node), value, platform.LeaseID(e.Lease)) // the outcome says all that counts
+	return reducer.NodeAnnounced{Result: writeResult(outcome), Lease: e.Lease}
+}
+
+// list reads the entries of nodes. One that another writer has spoiled names no node.
+func (r *Runner) list(ctx context.Context) reducer.Input {
+	entries, err := r.store.List(ctx, platform.KeyNodePrefix)
+	listed := reducer.NodesListed{Result: errorResult(err)}
+	for _, entry := range entries {
+		var node reducer.NodeEntry
+		if json.Unmarshal(entry.Value, &node) == nil && node.Node != "" && node.Address != "" {
+			listed.Nodes = append(listed.Nodes, node)
+		}
 	}
-	if document.Version == 0 {
-		return reducer.StoreRead{Result: reducer.StoreMalformed, Revision: entry.Revision, Problem: "the document has no version"}
+	return listed
+}
+
+func errorResult(err error) reducer.StoreResult {
+	if err != nil {
+		return reducer.StoreUnknown
+	}
+	return reducer.StoreOK
+}
+
+func writeResult(outcome platform.WriteOutcome) reducer.StoreResult {
+	switch outcome {
+	case platform.Applied:
+		return reducer.StoreOK
+	case platform.NoLease:
+		return reducer.StoreNoLease
+	default:
+		return reducer.StoreUnknown
 	}
-	return reducer.StoreRead{Result: reducer.StoreOK, Document: document, Raw: entry.Value, Revision: entry.Revision}
 }
--- a/runner/telemetry/store.go
+++ b/runner/telemetry/store.go
@@ -32,10 +32,10 @@
 }
 
 // Watch implements platform.Store.
-func (s *countedStore) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Entry, error) {
-	entry, err := s.store.Watch(ctx, key, after, wait)
+func (s *countedStore) Watch(ctx context.Context, key string, after uint64, wait time.Duration) (platform.WatchOutcome, platform.Entry, error) {
+	outcome, entry, err := s.store.Watch(ctx, key, after, wait)
 	s.read("watch", err)
-	return entry, err
+	return outcome, entry, err
 }
 
 // CompareAndSwap implements platform.Store.
@@ -45,9 +45,37 @@
 	return outcome, entry, err
 }
 
-// AcquireLease implements platform.Store.
-func (s *countedStore) AcquireLease(ctx context.Context, key string, lease platform.Lease) (platform.WriteOutcome, platform.Lease, error) {
-	outcome, held, err := s.store.AcquireLease(ctx, key, lease)
-	s.metrics.PlatformCall("acquire_lease", outcome.String())
-	return outcome, held, err
+// List implements platform.Store.
+func (s *countedStore) List(ctx context.Context, prefix string) ([]platform.Entry, error) {
+	entries, err := s.store.List(ctx, prefix)
+	s.read("list", err)
+	return entries, err
+}
+
+// PutLeased implements platform.Store.
+func (s *countedStore) PutLeased(ctx context.Context, key string, value []byte, lease platform.LeaseID) (platform.WriteOutcome, error) {
+	outcome, err := s.store.PutLeased(ctx, key, value, lease)
+	s.metrics.PlatformCall("put_leased", outcome.String())
+	return outcome, err
+}
+
+// GrantLease implements platform.Store.
+func (s *countedStore) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	lease, err := s.store.GrantLease(ctx, ttl)
+	s.read("grant_lease", err)
+	return lease, err
+}
+
+// RenewLease implements platform.Store.
+func (s *countedStore) RenewLease(ctx context.Context, lease platform.LeaseID) (platform.WriteOutcome, error) {
+	outcome, err := s.store.RenewLease(ctx, lease)
+	s.metrics.PlatformCall("renew_lease", outcome.String())
+	return outcome, err
+}
+
+// EndLease implements platform.Store.
+func (s *countedStore) EndLease(ctx context.Context, lease platform.LeaseID) error {
+	err := s.store.EndLease(ctx, lease)
+	s.read("end_lease", err)
+	return err
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -16,10 +16,13 @@
 // Settings are the settings of one node.
 type Settings struct {
 	Node     Node
+	Backend  Backend
 	Listen   Listen
 	Peers    Peers
 	Platform Platform
 	Limits   Limits
+	Retries  Retries
+	Runtime  Runtime
 	Shutdown Shutdown
 	Log      Log
 	Trace    Trace
@@ -32,6 +35,13 @@
 	System string // nodes of different systems refuse each other
 }
 
+// Backend is the backend server that may register with the node. Empty fields allow any.
+type Backend struct {
+	Service   string
+	Address   string        // IP:port
+	Heartbeat time.Duration // interval of its registrations
+}
+
 // Listen holds the node's own addresses, each IP:port.
 type Listen struct {
 	Callers  string
@@ -58,8 +68,17 @@
 // Platform says where the platform's key-value service is.
 type Platform struct {
 	Address string // IP:port
+	Mode    string // ModeOwn or ModeHosted
 }
 
+// Modes of the platform.
+const (
+	// ModeOwn takes the tables that rosemaryhatchctl writes, and the project's own headers.
+	ModeOwn = "own"
+	// ModeHosted takes the configuration that the platform's operator writes, and the platform's headers.
+	ModeHosted = "hosted"
+)
+
 // Limits bound what the node holds.
 type Limits struct {
 	Calls       int
@@ -68,6 +87,18 @@
 	Records     int
 }
 
+// Retries bound the retries of all nodes together.
+type Retries struct {
+	Ratio float64 // of the calls
+	Slack int     // beside that, in any 10 s
+}
+
+// Runtime bounds the process.
+type Runtime struct {
+	MemoryBytes int64 // 0 is no bound
+	Processors  int   // threads that run at a time
+}
+
 // Shutdown bounds a graceful shutdown.
 type Shutdown struct {
 	Timeout time.Duration
@@ -148,6 +179,11 @@
 			Zone:   r.name("node", "zone"),
 			System: r.name("node", "system"),
 		},
+		Backend: Backend{
+			Service:   r.text("backend", "service"),
+			Address:   r.optionalAddress("backend", "address"),
+			Heartbeat: r.duration("backend", "heartbeat", time.Second, 100*time.Millisecond, time.Minute),
+		},
 		Listen: Listen{
 			Callers:  r.address("listen", "callers"),
 			Peers:    r.address("listen", "peers"),
@@ -156,14 +192,25 @@
 
 			AdvertisePeers: r.optionalAddress("listen", "advertise_peers"),
 		},
-		Peers:    Peers{Seeds: r.addresses("peers", "seeds")},
-		Platform: Platform{Address: r.address("platform", "address")},
+		Peers: Peers{Seeds: r.addresses("peers", "seeds")},
+		Platform: Platform{
+			Address: r.address("platform", "address"),
+			Mode:    r.choice("platform", "mode", ModeOwn, ModeHosted),
+		},
 		Limits: Limits{
 			Calls:       int(r.integer("limits", "calls", 4096, 1, 65536)),
 			BodyBytes:   r.integer("limits", "body_bytes", 128<<20, 1<<20, 1<<34),
 			QueuedBytes: r.integer("limits", "queued_bytes", 64<<20, 1<<20, 1<<34),
 			Records:     int(r.integer("limits", "records", 100_000, 100, 10_000_000)),
 		},
+		Retries: Retries{
+			Ratio: r.share("retries", "ratio", 0.1),
+			Slack: int(r.integer("retries", "slack", 200, 0, 1_000_000)),
+		},
+		Runtime: Runtime{
+			MemoryBytes: r.integer("runtime", "memory_mb", 0, 0, 1<<20) << 20,
+			Processors:  int(r.integer("runtime", "processors", 2, 1, 1024)),
+		},
 		Shutdown: Shutdown{Timeout: r.duration("shutdown", "timeout", time.Minute, time.Second, time.Hour)},
 		Log: Log{
 			Level:  r.choice("log", "level", "info", "debug", "warn", "error"),
--- a/tables/check.go
+++ b/tables/check.go
@@ -61,7 +61,7 @@
 // Check parses and checks both tables of a document. It returns a snapshot, or a *CheckError that
 // lists every fault; a document is never accepted in part.
 func Check(document Document) (*Snapshot, error) {
-	c := &checker{snapshot: &Snapshot{
+	c := &checker{places: map[routePlace][]*Route{}, snapshot: &Snapshot{
 		document:  document,
 		pools:     map[string]Pool{},
 		byService: map[string]Pool{},
@@ -75,11 +75,13 @@
 		return nil, &CheckError{Faults: c.faults}
 	}
 	sortRoutes(c.snapshot.routes)
+	c.snapshot.index = newRouteIndex(c.snapshot.routes)
 	return c.snapshot, nil
 }
 
 type checker struct {
 	snapshot *Snapshot
+	places   map[routePlace][]*Route
 	faults   []Fault
 }
 
@@ -119,6 +121,10 @@
 	var out []*section
 	seen := map[string]bool{}
 	for _, s := range file.Sections() {
+		if table == "routes" && s.Name() == limitsSection {
+			c.checkLimits(&section{c: c, table: table, ini: s, used: map[string]bool{}})
+			continue
+		}
 		if s.Name() == ini.DefaultSection {
 			for _, key := range s.Keys() {
 				c.fault(table, "", key.Name(), "stands before the first section")
@@ -222,6 +228,8 @@
 			Service:    s.required("service"),
 			QueueLimit: int(s.integer("queue_limit", DefaultQueueLimit, 1, MaxQueueLimit)),
 			Ramp:       s.duration("ramp", DefaultRamp, 0, MaxRamp),
+
+			MaxConnections: int(s.integer("max_connections", 0, 1, 1<<20)),
 		}
 		sum := 0
 		for priority := range pool.MinShares {
@@ -243,38 +251,96 @@
 func (c *checker) checkRoutes(text string) {
 	for _, s := range c.sections("routes", "route", text) {
 		route := Route{
-			Name:         s.name(),
-			Host:         s.text("host", ""),
-			Path:         s.text("path", "/"),
-			Methods:      splitMethods(s.text("methods", "")),
-			Pool:         s.required("pool"),
-			Priority:     int(s.integer("priority", Priorities-1, 0, Priorities-1)),
-			Idempotent:   s.boolean("idempotent", false),
-			Timeout:      s.duration("timeout", DefaultTimeout, time.Millisecond, MaxTimeout),
-			Retries:      int(s.integer("retries", DefaultRetries, 0, MaxRetries)),
-			KeyRetention: s.duration("key_retention", DefaultKeyRetention, time.Second, MaxKeyRetention),
-			MaxBodyBytes: s.integer("max_body_bytes", DefaultBodyBytes, 0, MaxBodyBytes),
+			Name:          s.name(),
+			Host:          s.text("host", ""),
+			Path:          s.text("path", "/"),
+			Methods:       splitMethods(s.text("methods", "")),
+			Pool:          s.text("pool", ""),
+			Split:         s.split(),
+			Priority:      int(s.integer("priority", Priorities-1, 0, Priorities-1)),
+			Idempotent:    s.boolean("idempotent", false),
+			Timeout:       s.duration("timeout", DefaultTimeout, time.Millisecond, MaxTimeout),
+			TargetLatency: s.duration("target_latency", 0, time.Millisecond, MaxTimeout),
+			Retries:       int(s.integer("retries", DefaultRetries, 0, MaxRetries)),
+			KeyRetention:  s.duration("key_retention", DefaultKeyRetention, time.Second, MaxKeyRetention),
+			MaxBodyBytes:  s.integer("max_body_bytes", DefaultBodyBytes, 0, MaxBodyBytes),
 		}
 		if !strings.HasPrefix(route.Path, "/") {
 			s.fault("path", "is %q, expected a path that starts with /", route.Path)
 		}
-		if _, ok := c.snapshot.pools[route.Pool]; !ok && route.Pool != "" {
-			s.fault("pool", "%q is not in the table of pools", route.Pool)
-		}
+		c.checkPoolsOf(s, &route)
 		s.rejectUnknown()
 		c.rejectAmbiguous(s, &route)
 		c.snapshot.routes = append(c.snapshot.routes, route)
 	}
 }
 
+// limitsSection bounds, in the table of routes, what callers may send.
+const limitsSection = "limits"
+
+func (c *checker) checkLimits(s *section) {
+	c.snapshot.limits = Limits{
+		HeaderBytes:   int(s.integer("max_header_bytes", 0, 1, 1<<20)),
+		BodyBytes:     s.integer("max_body_bytes", 0, 0, 1<<40),
+		HeaderTimeout: s.duration("header_timeout", 0, time.Millisecond, time.Hour),
+		IdleTimeout:   s.duration("idle_timeout", 0, time.Millisecond, 24*time.Hour),
+	}
+	s.rejectUnknown()
+}
+
+// checkPoolsOf checks that a route names pools of the table, in one way.
+func (c *checker) checkPoolsOf(s *section, route *Route) {
+	switch {
+	case route.Pool == "" && len(route.Split) == 0:
+		s.fault("pool", "is missing")
+	case route.Pool != "" && len(route.Split) > 0:
+		s.fault("split", "stands beside pool, expected one of them")
+	}
+	if _, ok := c.snapshot.pools[route.Pool]; !ok && route.Pool != "" {
+		s.fault("pool", "%q is not in the table of pools", route.Pool)
+	}
+	for _, share := range route.Split {
+		if _, ok := c.snapshot.pools[share.Pool]; !ok {
+			s.fault("split", "%q is not in the table of pools", share.Pool)
+		}
+	}
+}
+
+// MaxWeight bounds the weight of one pool of a split.
+const MaxWeight = 1_000_000
+
+// split reads the pools that share a route, as POOL:WEIGHT separated by commas.
+func (s *section) split() []Share {
+	text := s.text("split", "")
+	if text == "" {
+		return nil
+	}
+	var shares []Share
+	sum := 0
+	for _, part := range strings.Split(text, ",") {
+		pool, weightText, _ := strings.Cut(strings.TrimSpace(part), ":")
+		weight, err := strconv.Atoi(strings.TrimSpace(weightText))
+		if pool == "" || err != nil || weight < 0 || weight > MaxWeight {
+			s.fault("split", "has %q, expected POOL:WEIGHT with a weight of 0 to %d", part, MaxWeight)
+			return nil
+		}
+		shares = append(shares, Share{Pool: strings.TrimSpace(pool), Weight: weight})
+		sum += weight
+	}
+	if sum == 0 {
+		s.fault("split", "has weights that add up to 0, expected at least 1")
+		return nil
+	}
+	return shares
+}
+
 // rejectAmbiguous reports a route that matches the same requests as an earlier one, because which of
 // the two applies would depend on their names only.
 func (c *checker) rejectAmbiguous(s *section, route *Route) {
-	for i := range c.snapshot.routes {
-		other := &c.snapshot.routes[i]
-		if !strings.EqualFold(other.Host, route.Host) || other.Path != route.Path {
-			continue
-		}
+	place := routePlace{strings.ToLower(route.Host), route.Path}
+	earlier := c.places[place]
+	c.places[place] = append(earlier, route)
+	for _, other := range earlier {
 		if shareMethod(other, route) {
 			s.fault("path", "matches the same requests as route %q", other.Name)
 		}
--- a/tables/snapshot.go
+++ b/tables/snapshot.go
@@ -15,17 +15,26 @@
 
 // Route maps requests to a pool and gives the policy for them.
 type Route struct {
-	Name         string
-	Host         string   // empty matches every host
-	Path         string   // prefix that ends at a segment boundary
-	Methods      []string // empty matches every method
-	Pool         string
-	Priority     int
-	Idempotent   bool
-	Timeout      time.Duration
-	Retries      int
-	KeyRetention time.Duration // how long an idempotency key is remembered
-	MaxBodyBytes int64
+	Name       string
+	Host       string   // empty matches every host
+	Path       string   // prefix that ends at a segment boundary
+	Methods    []string // empty matches every method
+	Pool       string   // empty when Split is given
+	Split      []Share  // pools that share the route's requests
+	Priority   int
+	Idempotent bool
+	Timeout    time.Duration
+	// TargetLatency is the time within which a response has its full worth; 0 is the timeout.
+	TargetLatency time.Duration
+	Retries       int
+	KeyRetention  time.Duration // how long an idempotency key is remembered
+	MaxBodyBytes  int64
+}
+
+// Share is a pool's part of the requests of a route.
+type Share struct {
+	Pool   string
+	Weight int // relative to the sum of the weights
 }
 
 // Pool names the service whose upstreams serve a route, and how they share their slots.
@@ -35,12 +44,24 @@
 	MinShares  [Priorities]int // percent of slot time that each priority keeps in a flood
 	QueueLimit int             // calls waiting at one upstream
 	Ramp       time.Duration
+	// MaxConnections is how many connections an upstream accepts from all callers together; 0 when it is not known.
+	MaxConnections int
+}
+
+// Limits bound what a caller may send; 0 is the node's own bound.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // Snapshot is a checked, immutable version of both tables.
 type Snapshot struct {
 	document  Document
 	routes    []Route // longest path first, then host before no host, then name
+	index     routeIndex
+	limits    Limits
 	pools     map[string]Pool
 	byService map[string]Pool
 }
@@ -106,19 +127,15 @@
 	if s == nil {
 		return nil, false
 	}
-	for i := range s.routes {
-		if s.routes[i].matches(host, method, path) {
-			return &s.routes[i], true
-		}
-	}
-	return nil, false
+	return s.index.match(strings.ToLower(host), method, path)
 }
 
-func (r *Route) matches(host, method, path string) bool {
-	if r.Host != "" && !strings.EqualFold(r.Host, host) {
-		return false
+// Limits returns what callers may send.
+func (s *Snapshot) Limits() Limits {
+	if s == nil {
+		return Limits{}
 	}
-	return hasPathPrefix(path, r.Path) && r.allows(method)
+	return s.limits
 }
 
 func (r *Route) allows(method string) bool {
@@ -133,17 +150,6 @@
 	return false
 }
 
-// hasPathPrefix reports whether path is prefix or lies below it.
-func hasPathPrefix(path, prefix string) bool {
-	if !strings.HasPrefix(path, prefix) {
-		return false
-	}
-	if len(path) == len(prefix) || strings.HasSuffix(prefix, "/") {
-		return true
-	}
-	return path[len(prefix)] == '/'
-}
-
 func sortRoutes(routes []Route) {
 	sort.Slice(routes, func(i, j int) bool {
 		a, b := &routes[i], &routes[j]
