Settings are reloaded; a leave is kept by the store before it is acknowledged

Ruled out: the drain itself; the node stops work at once when its process lives. Now SIGHUP and a changed file reload the settings, and a leave is written to the store under a lease of 60 s. A life of the backend server older than the process is ready only when the store has no leave of it, or, while the store is away, with a second, later registration.

The retry budget is the node's part of the fleet's: half of the ratio for each call and the slack divided by the live nodes.

--- a/cmd/rosemaryhatch-node/main.go
+++ b/cmd/rosemaryhatch-node/main.go
@@ -46,10 +46,10 @@
 		fmt.Println("settings are valid:", *path)
 		return exitOK
 	}
-	return serve(s, newLogger(s.Log))
+	return serve(*path, s, newLogger(s.Log))
 }
 
-func serve(s settings.Settings, logger log.Logger) int {
+func serve(path string, s settings.Settings, logger log.Logger) int {
 	node.TuneRuntime(s.Runtime)
 	own := log.With(logger, "node", s.Node.ID, "zone", s.Node.Zone) // the node adds both to its own lines
 	listeners, err := node.Listen(s.Listen)
@@ -60,6 +60,9 @@
 	n := node.New(s, listeners, kv.New(s.Platform.Address), logger)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go watchSettings(ctx, path, hangups, own, n.Reload)
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
--- a/internal/faultmatrix/coverage_test.go
+++ b/internal/faultmatrix/coverage_test.go
@@ -16,6 +16,7 @@
 
 // notSteps are the inputs at which no fault can be put, with the reason.
 var notSteps = map[string]string{
+	"SettingsChanged": "replaces figures; no step of a call or of a change of the tables waits for it",
 	"StatusRequested": "reads the state and changes nothing",
 }
 
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -69,7 +69,8 @@
 	case reducer.StopProcess:
 		n.stopping = true
 		n.endWhenIdle()
-	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus:
+	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus,
+		reducer.AcknowledgeBackend:
 		// Nothing that other nodes or callers see.
 	default:
 		if !n.world.Store.perform(n, effect) {
--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -25,6 +25,7 @@
 	revision  uint64
 	watches   []func()
 	leases    map[uint64]*lease
+	left      map[string]bool     // lives of backend servers that have left
 	granted   uint64              // number of the newest lease
 	listed    []reducer.NodeEntry // what a stale list shows
 }
@@ -42,7 +43,9 @@
 // watchLook is how often a watch that waits looks whether the store still works.
 const watchLook = 250 * time.Millisecond
 
-func newStore(w *World) *Store { return &Store{world: w, leases: map[uint64]*lease{}} }
+func newStore(w *World) *Store {
+	return &Store{world: w, leases: map[uint64]*lease{}, left: map[string]bool{}}
+}
 
 // Heal ends every fault of the store.
 func (s *Store) Heal() {
@@ -111,6 +114,19 @@
 		s.call(n, reducer.NodeAnnounced{Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.Input { return s.announce(e) })
 	case reducer.ListNodes:
 		s.call(n, reducer.NodesListed{Result: reducer.StoreUnknown}, s.list)
+	case reducer.KeepLeave:
+		s.call(n, reducer.LeaveKept{Exchange: e.Exchange, Result: reducer.StoreUnknown}, func() reducer.Input {
+			s.left[e.Instance] = true
+			return reducer.LeaveKept{Exchange: e.Exchange, Result: reducer.StoreOK}
+		})
+	case reducer.ReadLeave:
+		s.call(n, reducer.LeaveRead{Instance: e.Instance, Result: reducer.StoreUnknown}, func() reducer.Input {
+			result := reducer.StoreAbsent
+			if s.left[e.Instance] {
+				result = reducer.StoreOK
+			}
+			return reducer.LeaveRead{Instance: e.Instance, Result: result}
+		})
 	case reducer.EndLease:
 		delete(s.leases, e.Lease)
 	default:
--- a/node/node.go
+++ b/node/node.go
@@ -101,8 +101,28 @@
 	return reducer.Config{
 		Self: reducer.NodeID(s.Node.ID), Zone: s.Node.Zone, Address: s.Listen.PeerAddress(), Operator: s.Listen.Operator,
 		Incarnation: incarnation, Seeds: s.Peers.Seeds, Discover: true, Limits: limits,
+		Tunables: tunables(s),
+	}
+}
+
+// tunables returns the settings that may change while the node runs.
+func tunables(s settings.Settings) reducer.Tunables {
+	return reducer.Tunables{
 		ShutdownTimeout: s.Shutdown.Timeout, RegistrationTTL: missedHeartbeats * s.Backend.Heartbeat,
+		RetryRatio: s.Retries.Ratio, RetrySlack: s.Retries.Slack,
+	}
+}
+
+// Reload takes over changed settings. Those that only a restart can take over are named in the log and stay as they
+// are.
+func (n *Node) Reload(s settings.Settings) {
+	for _, section := range n.settings.Fixed(s) {
+		level.Warn(n.logger).Log("msg", "changed settings need a restart", "section", section)
 	}
+	TuneRuntime(s.Runtime)
+	n.thread.Post(reducer.SettingsChanged{Tunables: tunables(s)})
+	level.Info(n.logger).Log("msg", "settings reloaded", "retry_ratio", s.Retries.Ratio, "retry_slack", s.Retries.Slack,
+		"heartbeat", s.Backend.Heartbeat, "shutdown_timeout", s.Shutdown.Timeout, "memory_bytes", s.Runtime.MemoryBytes)
 }
 
 // connect builds the runners around the control thread.
@@ -128,7 +148,7 @@
 		Front: front, Tracer: n.tracer, Logger: n.logger, Workers: n.workers, Refused: n.metrics.CallerRefused,
 	})
 	n.store = store.New(kv, from, n.thread.Post)
-	registrations := backend.RegisterHandler(n.thread, backend.Expected{Service: s.Backend.Service, Address: s.Backend.Address})
+	registrations := backend.RegisterHandler(n.thread, n.mailboxes, backend.Expected{Service: s.Backend.Service, Address: s.Backend.Address})
 	n.register = &http.Server{Handler: registrations, ReadTimeout: registerTimeout, WriteTimeout: registerTimeout}
 	var err error
 	if n.operator, err = operator.New(n.thread, n.mailboxes, n.metrics); err != nil {
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -169,6 +169,19 @@
 	Entry NodeEntry
 }
 
+// KeepLeave writes that a life of the backend server leaves, for as long as the TTL.
+type KeepLeave struct {
+	Exchange Handle
+	Instance string
+	TTL      time.Duration
+}
+
+// ReadLeave asks whether a life of the backend server has left.
+type ReadLeave struct{ Instance string }
+
+// AcknowledgeBackend answers what the backend server beside this node has said.
+type AcknowledgeBackend struct{ Exchange Handle }
+
 // ListNodes reads the entries of all nodes, which may be seconds old.
 type ListNodes struct{}
 
@@ -249,49 +262,53 @@
 // StopProcess ends the process after a graceful shutdown.
 type StopProcess struct{}
 
-func (ReadBody) effect()         {}
-func (Respond) effect()          {}
-func (Deliver) effect()          {}
-func (Forward) effect()          {}
-func (Probe) effect()            {}
-func (Settle) effect()           {}
-func (Cancel) effect()           {}
-func (StartBackend) effect()     {}
-func (AbortBackend) effect()     {}
-func (AnswerForward) effect()    {}
-func (AnswerSettle) effect()     {}
-func (DropAnswer) effect()       {}
-func (HandOver) effect()         {}
-func (AcceptRecords) effect()    {}
-func (ConfigureBackend) effect() {}
-func (ReadStore) effect()        {}
-func (WatchStore) effect()       {}
-func (GrantLease) effect()       {}
-func (RenewLease) effect()       {}
-func (EndLease) effect()         {}
-func (AnnounceNode) effect()     {}
-func (ListNodes) effect()        {}
-func (CheckTables) effect()      {}
-func (Publish) effect()          {}
-func (Send) effect()             {}
-func (WakeAt) effect()           {}
-func (AnswerStatus) effect()     {}
-func (CallFinished) effect()     {}
-func (CallQueued) effect()       {}
-func (Log) effect()              {}
-func (CloseListener) effect()    {}
-func (StopProcess) effect()      {}
+func (ReadBody) effect()           {}
+func (Respond) effect()            {}
+func (Deliver) effect()            {}
+func (Forward) effect()            {}
+func (Probe) effect()              {}
+func (Settle) effect()             {}
+func (Cancel) effect()             {}
+func (StartBackend) effect()       {}
+func (AbortBackend) effect()       {}
+func (AnswerForward) effect()      {}
+func (AnswerSettle) effect()       {}
+func (DropAnswer) effect()         {}
+func (HandOver) effect()           {}
+func (AcceptRecords) effect()      {}
+func (ConfigureBackend) effect()   {}
+func (ReadStore) effect()          {}
+func (WatchStore) effect()         {}
+func (GrantLease) effect()         {}
+func (RenewLease) effect()         {}
+func (EndLease) effect()           {}
+func (AnnounceNode) effect()       {}
+func (ListNodes) effect()          {}
+func (KeepLeave) effect()          {}
+func (ReadLeave) effect()          {}
+func (AcknowledgeBackend) effect() {}
+func (CheckTables) effect()        {}
+func (Publish) effect()            {}
+func (Send) effect()               {}
+func (WakeAt) effect()             {}
+func (AnswerStatus) effect()       {}
+func (CallFinished) effect()       {}
+func (CallQueued) effect()         {}
+func (Log) effect()                {}
+func (CloseListener) effect()      {}
+func (StopProcess) effect()        {}
 
 // CallHandle returns the handle of the goroutine that the effect is for.
-func (e ReadBody) CallHandle() Handle      { return e.Call }
-func (e Respond) CallHandle() Handle       { return e.Call }
-func (e Deliver) CallHandle() Handle       { return e.Call }
-func (e Forward) CallHandle() Handle       { return e.Call }
-func (e Probe) CallHandle() Handle         { return e.Call }
-func (e Settle) CallHandle() Handle        { return e.Call }
-func (e StartBackend) CallHandle() Handle  { return e.Call }
-func (e AbortBackend) CallHandle() Handle  { return e.Call }
-func (e AnswerForward) CallHandle() Handle { return e.Call }
-func (e AnswerSettle) CallHandle() Handle  { return e.Exchange }
-func (e AcceptRecords) CallHandle() Handle { return e.Exchange }
-func (e AnswerStatus) CallHandle() Handle  { return e.Exchange }
+func (e ReadBody) CallHandle() Handle           { return e.Call }
+func (e Respond) CallHandle() Handle            { return e.Call }
+func (e Deliver) CallHandle() Handle            { return e.Call }
+func (e Forward) CallHandle() Handle            { return e.Call }
+func (e Probe) CallHandle() Handle              { return e.Call }
+func (e Settle) CallHandle() Handle             { return e.Call }
+func (e StartBackend) CallHandle() Handle       { return e.Call }
+func (e AbortBackend) CallHandle() Handle       { return e.Call }
+func (e AnswerForward) CallHandle() Handle      { return e.Call }
+func (e AnswerSettle) CallHandle() Handle       { return e.Exchange }
+func (e AcceptRecords) CallHandle() Handle      { return e.Exchange }
+func (e AcknowledgeBackend) CallHandle() Handle { return e.Exchange }
+func (e AnswerStatus) CallHandle() Handle       { return e.Exchange }
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -178,14 +178,31 @@
 	Instance string // names the life of the backend server
 	Born     int64  // start of the life in Unix milliseconds, 0 when it is not known
 	Sequence uint64 // grows within one life, 0 when it is not known
+	Exchange Handle // answered by AcknowledgeBackend; 0 when nobody waits
 }
 
 // BackendLeaves reports that the backend server has said that it leaves. It gets no new calls.
 type BackendLeaves struct {
 	Instance string
-	Born     int64 // 0 when it is not known
+	Born     int64  // 0 when it is not known
+	Exchange Handle // answered by AcknowledgeBackend; 0 when nobody waits
 }
 
+// LeaveKept reports the result of a KeepLeave effect.
+type LeaveKept struct {
+	Exchange Handle
+	Result   StoreResult
+}
+
+// LeaveRead reports the result of a ReadLeave effect: StoreOK when the life has left, StoreAbsent when it has not.
+type LeaveRead struct {
+	Instance string
+	Result   StoreResult
+}
+
+// SettingsChanged brings settings that were changed while the process lives.
+type SettingsChanged struct{ Tunables Tunables }
+
 // TimerDue reports that the time named by the last WakeAt effect has come.
 type TimerDue struct{}
 
@@ -298,6 +315,9 @@
 func (BackendDone) input()       {}
 func (BackendRegistered) input() {}
 func (BackendLeaves) input()     {}
+func (LeaveKept) input()         {}
+func (LeaveRead) input()         {}
+func (SettingsChanged) input()   {}
 func (TimerDue) input()          {}
 func (ShutdownRequested) input() {}
 func (StatusRequested) input()   {}
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -82,7 +82,6 @@
 
 func (g *ingressState) init() {
 	g.calls = map[Handle]*ingressCall{}
-	g.budget = newRetryBudget()
 }
 
 func (s *State) callArrived(in CallArrived) {
@@ -99,7 +98,7 @@
 		s.refuse(call, OutcomeNotRun, ReasonDeadline)
 		return
 	}
-	s.ingress.budget.earn()
+	s.earnRetry()
 	s.timers.set(timerKey{kind: timerIngressDeadline, call: call.handle}, call.deadline)
 	if in.BodyBytes == 0 {
 		s.dispatch(call)
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -53,7 +53,7 @@
 	if call.retries <= 0 || outer != nil && outer.retried >= outer.limits.RetriesLeft {
 		return false
 	}
-	if !s.ingress.budget.spend() {
+	if !s.spendRetry() {
 		return false
 	}
 	call.retries--
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -31,22 +31,36 @@
 
 // Config is what a node knows of itself; it does not change while the process lives.
 type Config struct {
-	Self            NodeID
-	Zone            string
-	Address         string // IP:port of the peer listener
-	Operator        string // IP:port of the operator endpoints
-	Incarnation     Incarnation
-	Seeds           []string // peer addresses of nodes to join through
-	Discover        bool     // nodes find each other through the platform's store
-	Limits          Limits
-	ShutdownTimeout time.Duration // bound of a graceful shutdown
-	RegistrationTTL time.Duration // of the backend server beside this node; 0 is the default
+	Self        NodeID
+	Zone        string
+	Address     string // IP:port of the peer listener
+	Operator    string // IP:port of the operator endpoints
+	Incarnation Incarnation
+	Seeds       []string // peer addresses of nodes to join through
+	Discover    bool     // nodes find each other through the platform's store
+	Limits      Limits
+	Tunables
 	// Tables is the version that the node starts with, when whoever embeds the state distributes the
 	// tables in another way; nil for a node that learns them.
 	Tables     *tables.Snapshot
 	Discipline Discipline // order of the queue; other than the default only in measurements and tests
 }
 
+// Tunables are the settings that may change while the process lives.
+type Tunables struct {
+	ShutdownTimeout time.Duration // bound of a graceful shutdown
+	RegistrationTTL time.Duration // of the backend server beside this node; 0 is the default
+	// RetryRatio and RetrySlack bound the retries of all nodes together: a share of the calls and, in any 10 s, a
+	// number beside it.
+	RetryRatio float64
+	RetrySlack int
+}
+
+// DefaultTunables returns what a node without settings of its own uses.
+func DefaultTunables() Tunables {
+	return Tunables{ShutdownTimeout: time.Minute, RegistrationTTL: registrationTTL, RetryRatio: 0.2, RetrySlack: 200}
+}
+
 // State is the control state of a node. One goroutine owns it.
 type State struct {
 	cfg     Config
@@ -64,11 +78,16 @@
 	owners   ownerState
 	shutdown shutdownState
 	platform platformState
+
+	registration registrationState
 }
 
 // New returns the state of a node that has just started. The first event that it is given starts its
 // timers.
 func New(cfg Config) *State {
+	if cfg.Tunables == (Tunables{}) {
+		cfg.Tunables = DefaultTunables()
+	}
 	s := &State{cfg: cfg, timers: newTimers()}
 	s.config.active = cfg.Tables
 	s.members.init(cfg)
@@ -143,6 +162,12 @@
 		s.leaseRenewed(in)
 	case NodeAnnounced:
 		s.nodeAnnounced(in)
+	case LeaveKept:
+		s.leaveKept(in)
+	case LeaveRead:
+		s.leaveRead(in)
+	case SettingsChanged:
+		s.cfg.Tunables = in.Tunables
 	case NodesListed:
 		s.nodesListed(in)
 	case TablesChecked:
@@ -194,6 +219,8 @@
 		s.storeReadDue()
 	case timerStoreWatch:
 		s.storeWatchDue()
+	case timerLeaveKept:
+		s.leaveAcknowledged(key.call)
 	case timerReader:
 		s.readerDue()
 	case timerAnnounce:
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -21,6 +21,7 @@
 	timerStoreRead
 	timerStoreWatch
 	timerReader
+	timerLeaveKept
 	timerAnnounce
 	timerListNodes
 	timerConfigStart
--- a/runner/backend/register.go
+++ b/runner/backend/register.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
 
 // Paths of the registration, followed by the id of the backend server's life.
@@ -54,8 +56,9 @@
 	Address string // IP:port
 }
 
-// RegisterHandler returns the handler for RegisterPath and DeregisterPath.
-func RegisterHandler(poster Poster, expected Expected) http.Handler {
+// RegisterHandler returns the handler for RegisterPath and DeregisterPath. It answers when the control thread
+// acknowledges what the backend server said.
+func RegisterHandler(poster Poster, mailboxes *traffic.Mailboxes, expected Expected) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+RegisterPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
 		in, err := readRegistration(r)
@@ -66,8 +69,12 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		poster.Post(in.event(r.PathValue("id")))
-		acknowledge(w)
+		box := mailboxes.Open()
+		defer box.Close()
+		event := in.event(r.PathValue("id"))
+		event.Exchange = box.Handle
+		poster.Post(event)
+		acknowledge(w, r, box)
 	})
 	mux.HandleFunc("POST "+DeregisterPath+"{id}", func(w http.ResponseWriter, r *http.Request) {
 		in, err := readRegistration(r)
@@ -75,13 +82,29 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		poster.Post(reducer.BackendLeaves{Instance: r.PathValue("id"), Born: in.Born})
-		acknowledge(w)
+		box := mailboxes.Open()
+		defer box.Close()
+		poster.Post(reducer.BackendLeaves{Instance: r.PathValue("id"), Born: in.Born, Exchange: box.Handle})
+		acknowledge(w, r, box)
 	})
 	return mux
 }
 
-func acknowledge(w http.ResponseWriter) {
+// ackTimeout bounds the wait for the control thread.
+const ackTimeout = 2 * time.Second
+
+// acknowledge answers once the control thread has acknowledged.
+func acknowledge(w http.ResponseWriter, r *http.Request, box *traffic.Mailbox) {
+	timer := time.NewTimer(ackTimeout)
+	defer timer.Stop()
+	select {
+	case <-box.Effects: // the only effect for such an exchange
+	case <-r.Context().Done():
+		return
+	case <-timer.C:
+		http.Error(w, "the control thread does not answer", http.StatusServiceUnavailable)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = io.WriteString(w, "{}") // an error means that the backend server is gone
 }
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -89,6 +89,12 @@
 			_ = r.store.EndLease(ctx, platform.LeaseID(e.Lease)) // it ends by itself otherwise
 			return nil
 		})
+	case reducer.KeepLeave:
+		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+			return reducer.LeaveKept{Exchange: e.Exchange, Result: r.keepLeave(ctx, e)}
+		})
+	case reducer.ReadLeave:
+		r.run(callTimeout, func(ctx context.Context) reducer.Input { return r.readLeave(ctx, e) })
 	case reducer.ListNodes:
 		r.run(callTimeout, r.list)
 	default:
@@ -156,6 +162,25 @@
 	return reducer.NodeAnnounced{Result: writeResult(outcome), Lease: e.Lease}
 }
 
+// keepLeave writes a key for a life that leaves, under a lease of its own: the lease of a node ends with it.
+func (r *Runner) keepLeave(ctx context.Context, e reducer.KeepLeave) reducer.StoreResult {
+	lease, err := r.store.GrantLease(ctx, e.TTL)
+	if err != nil {
+		return reducer.StoreUnknown
+	}
+	outcome, _ := r.store.PutLeased(ctx, platform.KeyLeavePrefix+e.Instance, nil, lease) // the outcome says all that counts
+	return writeResult(outcome)
+}
+
+func (r *Runner) readLeave(ctx context.Context, e reducer.ReadLeave) reducer.Input {
+	entry, err := r.store.Get(ctx, platform.KeyLeavePrefix+e.Instance)
+	result := errorResult(err)
+	if err == nil && entry.Revision == 0 {
+		result = reducer.StoreAbsent
+	}
+	return reducer.LeaveRead{Instance: e.Instance, Result: result}
+}
+
 // list reads the entries of nodes. One that another writer has spoiled names no node.
 func (r *Runner) list(ctx context.Context) reducer.Input {
 	entries, err := r.store.List(ctx, platform.KeyNodePrefix)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -116,6 +116,31 @@
 	Sample   float64 // share of the calls without a sampled parent, 0 to 1
 }
 
+// Fixed returns the sections in which other settings differ and that only a restart can take over.
+func (s Settings) Fixed(other Settings) []string {
+	heartbeat := other.Backend
+	heartbeat.Heartbeat = s.Backend.Heartbeat // taken over at once
+	var sections []string
+	for _, section := range []struct {
+		name    string
+		differs bool
+	}{
+		{"node", s.Node != other.Node},
+		{"backend", s.Backend != heartbeat},
+		{"listen", s.Listen != other.Listen},
+		{"peers", !slices.Equal(s.Peers.Seeds, other.Peers.Seeds)},
+		{"platform", s.Platform != other.Platform},
+		{"limits", s.Limits != other.Limits},
+		{"log", s.Log != other.Log},
+		{"trace", s.Trace != other.Trace},
+	} {
+		if section.differs {
+			sections = append(sections, section.name)
+		}
+	}
+	return sections
+}
+
 // Problem is one error in a settings file.
 type Problem struct {
 	File, Section, Key string
@@ -204,7 +229,7 @@
 			Records:     int(r.integer("limits", "records", 100_000, 100, 10_000_000)),
 		},
 		Retries: Retries{
-			Ratio: r.share("retries", "ratio", 0.1),
+			Ratio: r.share("retries", "ratio", 0.2),
 			Slack: int(r.integer("retries", "slack", 200, 0, 1_000_000)),
 		},
 		Runtime: Runtime{
