A second attempt starts beside a slow one instead of in its place

Ruled out: the shutdown and the deadline; 245 ms were left. Now the first attempt goes on, the first response counts, and a refusal of the second leaves the call to the first.

--- a/node/lifecycle_test.go
+++ b/node/lifecycle_test.go
@@ -145,7 +145,7 @@
 	p.nodes.Wait()
 	p.stop()
 	for _, line := range []string{"call finished", "forwarded call answered"} {
-		if !strings.Contains(p.log.String(), `msg="`+line+`" call=`+got.id+" ") {
+		if !strings.Contains(p.log.String(), `msg="`+line+`" request= call=`+got.id+" ") {
 			t.Errorf("log has no line %q for call %s", line, got.id)
 		}
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -45,7 +45,7 @@
 	async     *telemetry.AsyncLogger
 	metrics   *telemetry.Metrics
 	tracer    *telemetry.Tracer
-	logCalls  bool
+	callLines *telemetry.LineLimit
 	state     *reducer.State
 	thread    *control.Thread
 	mailboxes *traffic.Mailboxes
@@ -65,7 +65,7 @@
 // New returns a node on open listeners that has not started. The node closes the listeners.
 func New(s settings.Settings, listeners *Listeners, kv platform.Store, logger log.Logger) *Node {
 	n := &Node{
-		settings: s, listeners: listeners, metrics: telemetry.NewMetrics(), logCalls: s.Log.Level == "debug",
+		settings: s, listeners: listeners, metrics: telemetry.NewMetrics(), callLines: telemetry.NewLineLimit(),
 		mailboxes: traffic.NewMailboxes(), answers: traffic.NewAnswers(), workers: traffic.NewWorkers(), stopped: make(chan struct{}),
 	}
 	n.async = telemetry.NewAsyncLogger(logger, n.metrics.LogDropped)
@@ -141,7 +141,7 @@
 	n.server = peer.NewServer(self, n.listeners.Peers, &target.Handler{
 		Events: n.thread, Mailboxes: n.mailboxes, Answers: n.answers,
 		Starter: backend.Starter{Backend: n.backend, Tracer: n.tracer, Post: n.thread.Post, Workers: n.workers},
-		Tracer:  n.tracer, Logger: n.logger, LogCalls: n.logCalls,
+		Tracer:  n.tracer, Logger: n.logger, Lines: n.callLines,
 	}, n.logger, n.metrics)
 	n.ingress = ingress.NewServer(ingress.Options{
 		Events: n.thread, Mailboxes: n.mailboxes, Answers: n.answers, Forwarder: n.peers, Backend: n.backend,
--- a/node/perform.go
+++ b/node/perform.go
@@ -62,16 +62,29 @@
 	n.thread.Post(reducer.HandOverDone{To: e.To, Accepted: n.peers.HandOver(ctx, e, n.answers.Get)})
 }
 
-// callFinished counts a call that entered here, and logs it at debug level under its id.
+// callFinished counts a call that entered here and logs it under its id. The volume is bounded: calls that were not
+// served go first.
 func (n *Node) callFinished(e reducer.CallFinished) {
 	n.metrics.CallFinished(e)
-	if n.logCalls && e.ID != (reducer.CallID{}) { // a call refused on arrival has no id
-		level.Debug(n.logger).Log("msg", "call finished", "call", e.ID, "route", e.Route, "priority", e.Priority,
-			"outcome", e.Outcome, "reason", e.Reason, "attempts", e.Attempts, "elapsed", e.Elapsed)
+	served := e.Outcome == reducer.OutcomeDone
+	if !n.callLines.Allow(time.Now(), served) {
+		n.metrics.LogDropped()
+		return
 	}
+	logger := level.Info(n.logger)
+	if served {
+		logger = level.Debug(n.logger)
+	}
+	logger.Log("msg", "call finished", "request", e.RequestID, "call", e.ID, "route", e.Route, "priority", e.Priority,
+		"version", e.Version, "outcome", e.Outcome, "reason", e.Reason, "attempts", e.Attempts, "target", e.Target,
+		"time_left", e.TimeLeft, "elapsed", e.Elapsed)
 }
 
 func (n *Node) writeLog(e reducer.Log) {
+	if e.Call && !n.callLines.Allow(time.Now(), false) {
+		n.metrics.LogDropped()
+		return
+	}
 	logger := map[reducer.LogLevel]func(log.Logger) log.Logger{
 		reducer.LevelDebug: level.Debug, reducer.LevelInfo: level.Info,
 		reducer.LevelWarn: level.Warn, reducer.LevelError: level.Error,
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -223,6 +223,7 @@
 	Reason    Reason
 	Attempts  int
 	Elapsed   time.Duration
+	TimeLeft  time.Duration // of what the caller allowed
 }
 
 // CallQueued reports how long a call waited at this node for a slot.
@@ -237,6 +238,7 @@
 	Level   LogLevel
 	Message string
 	Fields  []Field
+	Call    bool // about one call, so that its volume grows with the load
 }
 
 // LogLevel is the level of a log line.
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -30,6 +30,7 @@
 	phaseLocal    // this node is the target
 	phaseSettling // asks for the outcome of a lost attempt
 	phaseAsking   // asks for a record of the call's key
+	phaseHedged   // the later of two attempts has ended, the earlier one goes on
 	phaseFinished
 )
 
@@ -67,10 +68,9 @@
 	// mayHaveRun is set once an attempt of an idempotent call was lost: a later refusal of another
 	// attempt does not make the whole call "not run".
 	mayHaveRun bool
-	// moved is the attempt that was given up for another upstream, 0 for none; movedOpen is set until its target
-	// says that it has not run.
-	moved     int
-	movedOpen bool
+	// hedged is set once a second attempt was started beside another; earlier is that other one while it goes on.
+	hedged  bool
+	earlier *openAttempt
 }
 
 type ingressState struct {
@@ -248,23 +248,23 @@
 	s.timers.set(timerKey{kind: timerIngressProbe, call: call.handle}, s.nextCheck(call))
 }
 
-// nextCheck returns when an attempt without an answer is looked at next: when it may be given up for another
-// upstream, or when its connection is due for a probe.
+// nextCheck returns when an attempt without an answer is looked at next: when another one may be started beside it, or
+// when its connection is due for a probe.
 func (s *State) nextCheck(call *ingressCall) time.Duration {
 	probe := call.sentAt + probeAfter
 	if probe <= s.now {
 		probe = s.now + probeAfter
 	}
-	if give := call.giveUpAt(); give > s.now {
-		return min(probe, give)
+	if at := call.hedgeAt(); at > s.now {
+		return min(probe, at)
 	}
 	return probe
 }
 
-// ingressProbe looks at an attempt that has no answer yet: it tries another upstream, or probes the connection.
+// ingressProbe looks at an attempt that has no answer yet: it starts another one, or probes the connection.
 func (s *State) ingressProbe(handle Handle) {
 	call := s.ingress.calls[handle]
-	if call == nil || call.phase != phaseForwarded && call.phase != phaseLocal || s.tryElsewhere(call) {
+	if call == nil || call.phase != phaseForwarded && call.phase != phaseLocal || s.hedge(call) {
 		return
 	}
 	if call.phase == phaseLocal || s.now < call.sentAt+probeAfter {
@@ -272,8 +272,8 @@
 		return
 	}
 	s.emit(Probe{Call: call.handle, Attempt: call.attempt, To: call.target, Timeout: probeTimeout})
-	if give := call.giveUpAt(); give > s.now {
-		s.timers.set(timerKey{kind: timerIngressProbe, call: call.handle}, give)
+	if at := call.hedgeAt(); at > s.now {
+		s.timers.set(timerKey{kind: timerIngressProbe, call: call.handle}, at)
 	}
 }
 
@@ -295,8 +295,9 @@
 
 func (s *State) forwardDone(in ForwardDone) {
 	call := s.ingress.calls[in.Call]
-	if call != nil && call.moved > 0 && call.moved == in.Attempt && in.Result == ForwardAnswered && in.Outcome == OutcomeNotRun {
-		call.movedOpen = false
+	if call != nil && call.earlier != nil && !call.earlier.local && call.earlier.number == in.Attempt {
+		s.earlierForwarded(call, in)
+		return
 	}
 	if call == nil || call.attempt != in.Attempt || call.phase != phaseForwarded {
 		return
@@ -453,6 +454,7 @@
 
 func (s *State) finish(call *ingressCall, outcome Outcome, reason Reason) {
 	s.setPhase(call, phaseFinished)
+	s.cancelEarlier(call)
 	s.ingress.reserved -= call.reserved
 	delete(s.ingress.calls, call.handle)
 	s.timers.cancel(timerKey{kind: timerIngressDeadline, call: call.handle})
@@ -462,7 +464,7 @@
 	s.emit(CallFinished{
 		Call: call.handle, ID: call.id, RequestID: call.requestID, Target: call.target.Node, Version: call.version,
 		Route: call.route.Name, Priority: call.route.Priority,
-		Outcome: outcome, Reason: reason, Attempts: call.attempt, Elapsed: s.now - call.arrivedAt,
+		Outcome: outcome, Reason: reason, Attempts: call.attempt, Elapsed: s.now - call.arrivedAt, TimeLeft: call.deadline - s.now,
 	})
 	s.shutdownProgress()
 }
--- a/reducer/keyed.go
+++ b/reducer/keyed.go
@@ -72,7 +72,7 @@
 // and a call with an idempotency key is either the first with its key, refused before anything was sent or
 // asked, or its owner has said so. While a first request waits, a repeat may overtake it.
 func (c *ingressCall) certainNotRun() bool {
-	if c.mayHaveRun || c.movedOpen {
+	if c.mayHaveRun || c.earlier != nil {
 		return false
 	}
 	return c.key == "" || c.firstAttempt && c.attempt == 0 || c.ownerKnows
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -17,9 +17,6 @@
 	// earlyProbe is the number of early refusals of which one call is sent all the same, so that the
 	// reports stay fresh.
 	earlyProbe = 16
-	// slowFactor is how many times the expected time an attempt must have taken before it is given up. A
-	// call that waits in a queue as expected would only lose its place.
-	slowFactor = 2
 )
 
 // allowedRetries returns the retries that a new call may use. A nested call without the header of its
@@ -79,11 +76,17 @@
 // retryOrRefuse tries a call at another upstream when that is allowed, or ends it with the outcome.
 func (s *State) retryOrRefuse(call *ingressCall, outcome Outcome, reason Reason) {
 	call.lastReason = reason
+	if call.earlier != nil {
+		s.awaitEarlier(call, outcome)
+		return
+	}
 	pause := s.retryPause(call.attempt)
 	if s.now+pause >= call.deadline || !s.mayRetry(call, outcome, reason) || !s.takeRetry(call) {
 		s.refuse(call, outcome, reason)
 		return
 	}
+	s.logCall(call, "attempt failed, another follows", Field{"attempt", call.attempt}, Field{"target", call.target.Node},
+		Field{"outcome", outcome}, Field{"reason", reason}, Field{"pause", pause}, Field{"time_left", call.deadline - s.now})
 	s.setPhase(call, phaseBackoff)
 	s.timers.set(timerKey{kind: timerIngressRetry, call: call.handle}, s.now+pause)
 }
@@ -111,54 +114,6 @@
 	return ok && len(s.fittingUpstreams(s.usableUpstreams(pool.Service, call.tried), call)) > 0
 }
 
-// giveUpAt returns when an attempt of an idempotent call may be given up for another upstream: after half of the
-// time and several times what it was expected to take.
-func (c *ingressCall) giveUpAt() time.Duration {
-	if !c.route.Idempotent || c.moved > 0 {
-		return 0
-	}
-	return c.sentAt + max((c.deadline-c.sentAt)/2, slowFactor*c.expected)
-}
-
-// tryElsewhere gives up an attempt that has gone without an answer for too long and starts another one, once for a
-// call, where it is expected to finish in the rest of its time. Without it every call that was sent to an upstream that has
-// become slow is late, until enough of them were late.
-func (s *State) tryElsewhere(call *ingressCall) bool {
-	if give := call.giveUpAt(); give == 0 || s.now < give {
-		return false
-	}
-	pool, ok := s.config.active.Pool(call.route.Pool)
-	if !ok {
-		return false
-	}
-	proven := s.provenUpstreams(s.usableUpstreams(pool.Service, call.tried), call)
-	if len(proven) == 0 || !s.takeRetry(call) {
-		return false
-	}
-	call.moved, call.movedOpen, call.lastReason = call.attempt, true, ReasonDeadline
-	s.observeSilence(call.target.Node)
-	if call.phase == phaseLocal {
-		call.movedOpen = s.abandonTarget(call.handle) != OutcomeNotRun
-	} else {
-		s.emit(Cancel{To: call.target, ID: call.id})
-	}
-	s.setPhase(call, phaseBackoff)
-	s.sendTo(call, s.lessLoaded(proven, call.route.Priority, pool.Ramp).Member)
-	return true
-}
-
-// provenUpstreams takes the upstreams out of a list that are not expected to finish a call in time by a fresh
-// report of calls of the same priority. One that refuses everything has a short queue, too.
-func (s *State) provenUpstreams(upstreams []*upstream, call *ingressCall) []*upstream {
-	priority := call.route.Priority
-	return slices.DeleteFunc(s.fittingUpstreams(upstreams, call), func(u *upstream) bool {
-		if u.Node == s.cfg.Self {
-			return s.target.queue.least[priority].time == 0
-		}
-		return u.load.report.Services[priority] == 0 || !u.load.fresh(s.now, earlyReportFresh)
-	})
-}
-
 func (s *State) ingressRetry(handle Handle) {
 	call := s.ingress.calls[handle]
 	if call == nil || call.phase != phaseBackoff {
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -265,6 +265,12 @@
 	s.emit(Log{Level: level, Message: message, Fields: fields})
 }
 
+// logCall logs a decision on one call.
+func (s *State) logCall(call *ingressCall, message string, fields ...Field) {
+	fields = append([]Field{{"request", call.requestID}, {"call", call.id}, {"route", call.route.Name}, {"version", call.version}}, fields...)
+	s.emit(Log{Level: LevelInfo, Message: message, Fields: fields, Call: true})
+}
+
 // random returns a number from 0 to n-1 and steps the generator, so that one event can use several.
 func (s *State) random(n int) int {
 	s.rand = s.rand*6364136223846793005 + 1442695040888963407 // constants of Knuth's MMIX generator
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -227,8 +227,13 @@
 
 // answerLocal ends the wait of a call that entered at this node and whose target is this node.
 func (s *State) answerLocal(handle Handle, outcome Outcome, reason Reason, answerOf Handle) {
-	if call := s.ingress.calls[handle]; call != nil && call.phase == phaseLocal {
+	call := s.ingress.calls[handle]
+	switch {
+	case call == nil:
+	case call.phase == phaseLocal:
 		s.attemptAnswered(call, outcome, reason, answerOf)
+	case call.earlier != nil && call.earlier.local:
+		s.earlierEnded(call, outcome, reason, Deliver{Call: handle, ID: call.id, AnswerOf: answerOf})
 	}
 }
 
--- a/runner/target/target.go
+++ b/runner/target/target.go
@@ -29,8 +29,7 @@
 	Starter   backend.Starter
 	Tracer    *telemetry.Tracer
 	Logger    log.Logger
-	// LogCalls writes a debug line for each call.
-	LogCalls bool
+	Lines     *telemetry.LineLimit // bounds the lines about calls; nil writes none
 }
 
 // Post hands an event to the control thread.
@@ -49,13 +48,26 @@
 	h.Events.Post(in)
 	answer := c.run(gone)
 	span.Outcome(answer.Outcome)
-	if h.LogCalls {
-		level.Debug(h.Logger).Log("msg", "forwarded call answered", "call", in.ID, "attempt", in.Attempt,
-			"route", in.Route, "outcome", answer.Outcome, "reason", answer.Reason, "elapsed", time.Since(c.began))
-	}
+	h.log(in, answer, time.Since(c.began))
 	return answer, c.answered(answer)
 }
 
+// log writes what became of a forwarded call, with the load that decided it.
+func (h *Handler) log(in reducer.ForwardArrived, answer reducer.AnswerForward, took time.Duration) {
+	served := answer.Outcome == reducer.OutcomeDone
+	if !h.Lines.Allow(time.Now(), served) {
+		return
+	}
+	logger := level.Info(h.Logger)
+	if served {
+		logger = level.Debug(h.Logger)
+	}
+	logger.Log("msg", "forwarded call answered", "request", in.RequestID, "call", in.ID, "attempt", in.Attempt,
+		"route", in.Route, "priority", in.Priority, "outcome", answer.Outcome, "reason", answer.Reason, "status", answer.Status,
+		"time_left", in.TimeLeft, "elapsed", took, "wait", answer.Load.Waits[in.Priority], "running", answer.Load.Running,
+		"queued", answer.Load.Queued, "slots", answer.Load.Slots)
+}
+
 // Settle answers a question about a call's outcome.
 func (h *Handler) Settle(arrived func(reducer.Handle) reducer.SettleArrived) (reducer.AnswerSettle, *traffic.Response) {
 	box := h.Mailboxes.Open()
