--- a/internal/measure/policy/cluster.go
+++ b/internal/measure/policy/cluster.go
@@ -223,7 +223,7 @@
 		to.forwards[to.handles] = forwardOrigin{n, e.Call, e.Attempt}
 		to.reduce(reducer.ForwardArrived{
 			Call: to.handles, ID: e.ID, Attempt: e.Attempt, Route: e.Route, Pool: e.Pool, Priority: e.Priority,
-			Idempotent: e.Idempotent, TimeLeft: e.TimeLeft, TargetIncarnation: e.To.Incarnation, Limits: e.Limits,
+			Idempotent: e.Idempotent, TimeLeft: e.TimeLeft, DueIn: e.DueIn, TargetIncarnation: e.To.Incarnation, Limits: e.Limits,
 		})
 	})
 }
@@ -250,7 +250,7 @@
 		to.handles++
 		to.settles[to.handles] = forwardOrigin{n, e.Call, e.Attempt}
 		to.reduce(reducer.SettleArrived{
-			Exchange: to.handles, ID: e.ID, Route: e.Route, TargetIncarnation: e.To.Incarnation, TimeLeft: e.TimeLeft,
+			Exchange: to.handles, ID: e.ID, Route: e.Route, TargetIncarnation: e.To.Incarnation, TimeLeft: e.TimeLeft, DueIn: e.DueIn,
 		})
 	})
 }
--- a/internal/pump/links.go
+++ b/internal/pump/links.go
@@ -121,7 +121,7 @@
 	}
 	n.post(0, reducer.ForwardArrived{
 		Call: handle, ID: f.ID, Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority,
-		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: f.KeyRetention, TimeLeft: f.TimeLeft,
+		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: f.KeyRetention, TimeLeft: f.TimeLeft, DueIn: f.DueIn,
 		TargetIncarnation: f.To.Incarnation, Limits: f.Limits,
 	})
 }
--- a/reducer/admission.go
+++ b/reducer/admission.go
@@ -48,12 +48,41 @@
 	q.advance(s.now, slots, pool)
 	service, margin := s.expectedService(call)
 	q.noteService(call.priority, service)
-	wait := q.wait(call.priority, slots, pool)
-	left := call.deadline - s.now
+	if call.due > 0 {
+		call.late = misses(q.wait(call.priority, slots, pool, call.due), service, margin, call.due-s.now)
+	}
+	if call.late {
+		return misses(q.lateWait(call.priority, slots), service, margin, call.deadline-s.now)
+	}
+	return misses(q.wait(call.priority, slots, pool, call.due), service, margin, call.deadline-s.now)
+}
+
+// misses reports whether a call that waits and then runs for a service time is expected to end after the time left.
+func misses(wait, service, deviation, left time.Duration) bool {
 	if left <= 0 || wait+service > left {
 		return true
 	}
-	return wait > 0 && wait > left-service-min(admitMargin*margin, (left-service)/2)
+	return wait > 0 && wait > left-service-min(admitMargin*deviation, (left-service)/2)
+}
+
+// becomesLate reports whether a call that is about to start can no longer be answered while its response has its full
+// worth. It gives its place to calls that can, and is refused when it would not be served behind them.
+func (s *State) becomesLate(call *targetCall) bool {
+	if call.late || call.due == 0 {
+		return false
+	}
+	service, deviation := s.expectedService(call)
+	if s.now+service <= call.due {
+		return false
+	}
+	call.late = true
+	q := &s.target.queue
+	if misses(q.lateWait(call.priority, s.slots()), service, deviation, call.deadline-s.now) {
+		s.refusePopped(call, ReasonDeadline)
+	} else {
+		q.put(call)
+	}
+	return true
 }
 
 // expectedService returns the mean and the deviation of the service time of a call, or zeros when no
@@ -72,7 +101,7 @@
 func (s *State) tooLateToStart(call *targetCall) bool {
 	left := call.deadline - s.now
 	need, deviation := s.expectedService(call)
-	if s.target.queue.waiting[call.priority].count > 0 {
+	if s.target.queue.waiting[call.priority].count > 0 && !call.late {
 		need += startMargin * deviation
 	}
 	return left <= 0 || need > left
@@ -92,13 +121,18 @@
 	return true
 }
 
-// victim returns the call that gives its place in a full queue to a call of a priority, or nil: the
+// victim returns the call that gives its place in a full queue to a call of a priority, or nil: a late one, or the
 // newest of the least urgent priority that holds more places than its minimum share. A more urgent
 // priority gives up a place only for a call of one that holds fewer places than its minimum share.
 func (q *priorityQueue) victim(priority int, pool tables.Pool) *targetCall {
 	if q.discipline == DisciplineFIFO {
 		return nil
 	}
+	for p := tables.Priorities - 1; p >= 0; p-- {
+		if q.late[p].count > 0 {
+			return q.late[p].tail
+		}
+	}
 	below := q.waiting[priority].count < q.sharePlaces(priority, pool)
 	for p := tables.Priorities - 1; p >= 0; p-- {
 		if p == priority || p < priority && !below {
@@ -130,6 +164,9 @@
 		if call == nil {
 			break
 		}
+		if s.becomesLate(call) {
+			continue
+		}
 		if s.tooLateToStart(call) {
 			s.refusePopped(call, ReasonDeadline)
 			continue
@@ -170,10 +207,13 @@
 	}
 	q.advance(s.now, report.Slots, pool)
 	for priority := range report.Waits {
-		report.Waits[priority] = q.wait(priority, report.Slots, pool)
-		if least := q.least[priority]; s.now-least.at <= leastKept {
-			report.Services[priority] = least.time
+		least := q.least[priority]
+		if least.at == 0 || s.now-least.at > leastKept {
+			continue // nobody asks for this priority
 		}
+		report.Services[priority] = least.time
+		report.Waits[priority] = q.wait(priority, report.Slots, pool, 0)
+		report.LateWaits[priority] = q.lateWait(priority, report.Slots)
 	}
 	return report
 }
--- a/reducer/choose.go
+++ b/reducer/choose.go
@@ -246,7 +246,7 @@
 	pool, _ := s.config.active.PoolOfService(s.backend.service)
 	slots := s.slots()
 	s.target.queue.advance(s.now, slots, pool)
-	return s.target.queue.wait(priority, slots, pool)
+	return s.target.queue.wait(priority, slots, pool, 0)
 }
 
 // penalizedWait is the expected wait with a penalty for the share of attempts that fail. Without it an
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -53,6 +53,7 @@
 	Key          string
 	KeyRetention time.Duration
 	TimeLeft     time.Duration
+	DueIn        time.Duration // until the response loses worth, negative when it has; 0 when that is not known
 	Limits       CallLimits
 	RequestID    string
 }
--- a/reducer/estimate.go
+++ b/reducer/estimate.go
@@ -44,22 +44,46 @@
 	}
 }
 
-// wait estimates how long a new call of a priority waits for a slot. The caller has called advance.
+// wait estimates how long a new call of a priority that is due at a time, 0 for none, waits for a slot. The caller has
+// called advance.
 //
 // The work ahead is served at the rate that more urgent arrivals and the minimum shares of less urgent
 // priorities leave. The priority's own minimum share is a second way to a slot; the faster one counts.
-func (q *priorityQueue) wait(priority, slots int, pool tables.Pool) time.Duration {
+func (q *priorityQueue) wait(priority, slots int, pool tables.Pool, due time.Duration) time.Duration {
 	if q.running < slots && q.count == 0 {
 		return 0
 	}
 	if q.discipline == DisciplineFIFO {
 		return q.waitInOrder(slots)
 	}
-	wait := min(q.waitByUrgency(priority, slots, pool), q.waitByShare(priority, slots, pool))
-	if wait >= longestWait.Seconds() {
+	return boundedWait(min(q.waitByUrgency(priority, slots, pool, due), q.waitByShare(priority, slots, pool, due)))
+}
+
+func boundedWait(seconds float64) time.Duration {
+	if seconds >= longestWait.Seconds() {
+		return longestWait
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// lateWait estimates how long a call waits that goes behind all calls that can still be answered in time: those that
+// wait and those that keep arriving.
+func (q *priorityQueue) lateWait(priority, slots int) time.Duration {
+	if q.running < slots && q.count == 0 {
+		return 0
+	}
+	rate, ahead := float64(max(slots, 1)), q.nextSlot()
+	for p := range q.waiting {
+		ahead += q.waiting[p].work.Seconds()
+		rate -= q.arrivalRate(p)
+		if p <= priority {
+			ahead += q.late[p].work.Seconds()
+		}
+	}
+	if rate <= 0 {
 		return longestWait
 	}
-	return time.Duration(wait * float64(time.Second))
+	return boundedWait(ahead / rate)
 }
 
 // nextSlot returns the slot time until one of the running calls ends, counted over all slots.
@@ -67,7 +91,7 @@
 	return q.runningCost.Seconds() / float64(max(q.running, 1))
 }
 
-func (q *priorityQueue) waitByUrgency(priority, slots int, pool tables.Pool) float64 {
+func (q *priorityQueue) waitByUrgency(priority, slots int, pool tables.Pool, due time.Duration) float64 {
 	rate := float64(max(slots, 1))
 	ahead := q.nextSlot()
 	for p := range q.waiting {
@@ -76,7 +100,7 @@
 			ahead += q.waiting[p].work.Seconds()
 			rate -= q.arrivalRate(p)
 		case p == priority:
-			ahead += q.waiting[p].work.Seconds()
+			ahead += q.waiting[p].ahead(due).Seconds()
 		default:
 			rate -= q.shareTaken(p, slots, pool)
 		}
@@ -97,19 +121,19 @@
 	return min(rate, q.arrivalRate(priority))
 }
 
-func (q *priorityQueue) waitByShare(priority, slots int, pool tables.Pool) float64 {
+func (q *priorityQueue) waitByShare(priority, slots int, pool tables.Pool, due time.Duration) float64 {
 	rate := q.shareRate(priority, slots, pool)
 	if rate == 0 {
 		return math.Inf(1)
 	}
-	owed := q.waiting[priority].work.Seconds() - q.credit[priority]
+	owed := q.waiting[priority].ahead(due).Seconds() - q.credit[priority]
 	return max(owed, 0)/rate + q.nextSlot()/float64(max(slots, 1))
 }
 
 func (q *priorityQueue) waitInOrder(slots int) time.Duration {
 	ahead := q.nextSlot()
 	for p := range q.waiting {
-		ahead += q.waiting[p].work.Seconds()
+		ahead += (q.waiting[p].work + q.late[p].work).Seconds()
 	}
 	return time.Duration(ahead / float64(max(slots, 1)) * float64(time.Second))
 }
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -115,6 +115,7 @@
 	Key               string // idempotency key; empty when there is none
 	KeyRetention      time.Duration
 	TimeLeft          time.Duration
+	DueIn             time.Duration // until the response loses worth, negative when it has; 0 when that is not known
 	TargetIncarnation Incarnation
 	BodyBytes         int64
 	Limits            CallLimits
--- a/reducer/hedge.go
+++ b/reducer/hedge.go
@@ -24,8 +24,8 @@
 		return 0
 	}
 	worth := c.deadline
-	if c.route.TargetLatency > 0 {
-		worth = min(worth, max(c.arrivedAt+c.route.TargetLatency, c.sentAt))
+	if c.due > c.sentAt {
+		worth = min(worth, c.due)
 	}
 	return c.sentAt + max((worth-c.sentAt)/2, slowFactor*c.expected)
 }
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -60,6 +60,7 @@
 	sentAt          time.Duration // begin of the present attempt
 	expected        time.Duration // time that the attempt was expected to take; idempotent calls only
 	deadline        time.Duration
+	due             time.Duration // when the response loses worth; 0 when that is not known
 	lastReason      Reason
 	firstAttempt    bool
 	asked           []NodeID // nodes that said that they have no record of the call's key
@@ -174,6 +175,7 @@
 		reserved:     bodyReserve(in.BodyBytes, &route),
 		arrivedAt:    s.now,
 		deadline:     s.now + timeout,
+		due:          s.dueOf(&route, timeout),
 		firstAttempt: s.claimsFirst(in),
 	}
 	if !route.Idempotent {
@@ -184,6 +186,26 @@
 	return call
 }
 
+// dueOf returns when the response to a new call loses worth, 0 when its route does not say. A caller that allows less time
+// than the route has waited before: it was refused and has come back.
+func (s *State) dueOf(route *tables.Route, timeout time.Duration) time.Duration {
+	if route.TargetLatency == 0 {
+		return 0
+	}
+	return max(s.now+route.TargetLatency-(route.Timeout-timeout), 1)
+}
+
+// dueIn returns the time until the response of a call loses worth at an upstream beyond a hop, 0 when that is not known.
+func (s *State) dueIn(call *ingressCall) time.Duration {
+	if call.due == 0 {
+		return 0
+	}
+	if left := call.due - s.now - hopMargin; left != 0 {
+		return left
+	}
+	return -1
+}
+
 func (s *State) bodyRead(in BodyRead) {
 	call := s.ingress.calls[in.Call]
 	if call == nil || call.phase != phaseBody {
@@ -243,7 +265,7 @@
 		Call: call.handle, Attempt: call.attempt, To: call.target, ID: call.id,
 		Route: call.route.Name, Pool: call.route.Pool, Priority: call.route.Priority,
 		Idempotent: call.route.Idempotent, Key: call.key, KeyRetention: call.route.KeyRetention,
-		TimeLeft: left, Limits: call.limits, RequestID: call.requestID,
+		TimeLeft: left, DueIn: s.dueIn(call), Limits: call.limits, RequestID: call.requestID,
 	})
 	s.timers.set(timerKey{kind: timerIngressProbe, call: call.handle}, s.nextCheck(call))
 }
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -34,18 +34,38 @@
 	work       time.Duration // expected slot time of the calls
 }
 
+// push puts a call behind those that are due earlier or at the same time. A call that is not due at any time keeps its
+// place.
 func (l *callList) push(call *targetCall) {
-	call.prev, call.next = l.tail, nil
-	if l.tail == nil {
+	after := l.tail
+	for call.due > 0 && after != nil && after.due > call.due {
+		after = after.prev
+	}
+	call.prev, call.next = after, l.head
+	if after != nil {
+		call.next = after.next
+		after.next = call
+	} else {
 		l.head = call
+	}
+	if call.next != nil {
+		call.next.prev = call
 	} else {
-		l.tail.next = call
+		l.tail = call
 	}
-	l.tail = call
 	l.count++
 	l.work += call.cost
 }
 
+// ahead returns the expected slot time of the calls that a new call which is due at a time would wait behind.
+func (l *callList) ahead(due time.Duration) time.Duration {
+	work := l.work
+	for call := l.tail; due > 0 && call != nil && call.due > due; call = call.prev {
+		work -= call.cost
+	}
+	return work
+}
+
 func (l *callList) remove(call *targetCall) {
 	if call.prev == nil {
 		l.head = call.next
@@ -68,9 +88,13 @@
 // A priority with waiting work earns its share of all slot time as credit and pays with the slot time of
 // its calls. One whose credit is positive has received less than its share and goes first. Without
 // waiting work it earns back what it owes and nothing more.
+//
+// Within a priority calls go by the time at which their response loses worth. A call that can no longer be answered by
+// then goes behind all calls that can: its slot is worth more to them.
 type priorityQueue struct {
 	discipline   Discipline
 	waiting      [tables.Priorities]callList
+	late         [tables.Priorities]callList
 	credit       [tables.Priorities]float64 // seconds of slot time
 	shareRunning [tables.Priorities]int     // running calls that were started for a minimum share
 	arrived      [tables.Priorities]float64 // decayed slot time of admitted calls, in seconds
@@ -90,18 +114,33 @@
 // serviceTime returns the observed mean time of an execution.
 func (q *priorityQueue) serviceTime() time.Duration { return q.service.all.mean }
 
-// push appends a call behind the calls of its priority. The caller has called advance.
+// push takes in a call that has arrived. The caller has called advance.
 func (q *priorityQueue) push(call *targetCall) {
 	call.cost = q.service.of(call.route).mean
 	q.pushed++
 	call.order = q.pushed
-	q.waiting[call.priority].push(call)
-	q.arrived[call.priority] += call.cost.Seconds()
+	if !call.late {
+		q.arrived[call.priority] += call.cost.Seconds()
+	}
+	q.put(call)
+}
+
+// put adds a call to the list that it belongs to.
+func (q *priorityQueue) put(call *targetCall) {
+	q.list(call).push(call)
 	q.count++
 }
 
+// list returns the list that a call belongs to.
+func (q *priorityQueue) list(call *targetCall) *callList {
+	if call.late {
+		return &q.late[call.priority]
+	}
+	return &q.waiting[call.priority]
+}
+
 func (q *priorityQueue) remove(call *targetCall) {
-	q.waiting[call.priority].remove(call)
+	q.list(call).remove(call)
 	q.count--
 }
 
@@ -111,8 +150,7 @@
 		return nil
 	}
 	q.advance(now, slots, pool)
-	priority, byShare := q.next(slots, pool)
-	call := q.waiting[priority].head
+	call, byShare := q.next(slots, pool)
 	q.remove(call)
 	call.byShare = byShare
 	return call
@@ -139,24 +177,29 @@
 	q.charge(call, done.Elapsed-call.cost, slots, pool)
 }
 
-// next returns the priority to serve and whether it is served for its minimum share.
-func (q *priorityQueue) next(slots int, pool tables.Pool) (priority int, byShare bool) {
+// next returns the call to serve and whether it is served for the minimum share of its priority.
+func (q *priorityQueue) next(slots int, pool tables.Pool) (call *targetCall, byShare bool) {
 	if q.discipline == DisciplineFIFO {
 		return q.oldest(), false
 	}
-	urgent := -1
 	for p := range q.waiting {
-		if q.waiting[p].count == 0 {
+		head := q.waiting[p].head
+		if head == nil {
 			continue
 		}
-		if urgent < 0 {
-			urgent = p
+		if call == nil {
+			call = head
 		}
 		if q.credit[p] > 0 && q.shareRunning[p] < shareSlots(p, slots, pool) {
-			return p, true
+			return head, true
 		}
 	}
-	return urgent, false
+	for p := range q.late {
+		if head := q.late[p].head; call == nil {
+			call = head
+		}
+	}
+	return call, false
 }
 
 // shareSlots returns how many slots a priority may hold for its minimum share at one time. The bound
@@ -166,12 +209,14 @@
 	return (pool.MinShares[priority]*slots + 99) / 100
 }
 
-// oldest returns the priority of the call that was queued first.
-func (q *priorityQueue) oldest() int {
-	first := -1
-	for p := range q.waiting {
-		if head := q.waiting[p].head; head != nil && (first < 0 || head.order < q.waiting[first].head.order) {
-			first = p
+// oldest returns the call that was queued first.
+func (q *priorityQueue) oldest() *targetCall {
+	var first *targetCall
+	for _, lists := range [...]*[tables.Priorities]callList{&q.waiting, &q.late} {
+		for p := range lists {
+			if head := lists[p].head; head != nil && (first == nil || head.order < first.order) {
+				first = head
+			}
 		}
 	}
 	return first
@@ -214,12 +259,14 @@
 	}
 }
 
-// all returns the waiting calls, the most urgent first.
+// all returns the waiting calls, the late ones last.
 func (q *priorityQueue) all() []*targetCall {
 	var calls []*targetCall
-	for p := range q.waiting {
-		for call := q.waiting[p].head; call != nil; call = call.next {
-			calls = append(calls, call)
+	for _, lists := range [...]*[tables.Priorities]callList{&q.waiting, &q.late} {
+		for p := range lists {
+			for call := lists[p].head; call != nil; call = call.next {
+				calls = append(calls, call)
+			}
 		}
 	}
 	return calls
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -122,10 +122,18 @@
 	s.dispatch(call)
 }
 
+// fitBy returns the time by which a call should finish: when its response loses worth, or its deadline once it has.
+func (c *ingressCall) fitBy(now time.Duration) time.Duration {
+	if c.due > now {
+		return min(c.due, c.deadline)
+	}
+	return c.deadline
+}
+
 // fittingUpstreams takes the upstreams out of a list at which a call is not expected to finish in its time left.
 func (s *State) fittingUpstreams(upstreams []*upstream, call *ingressCall) []*upstream {
 	return slices.DeleteFunc(upstreams, func(u *upstream) bool {
-		return s.expectedFinish(u, call.route.Priority) > call.deadline-s.now
+		return s.expectedFinish(u, call.route.Priority) > call.fitBy(s.now)-s.now
 	})
 }
 
@@ -140,6 +148,14 @@
 	return wait + u.load.report.Services[priority] + hopMargin + s.extraHop(u.Zone)
 }
 
+// lateFinish estimates the time that a call takes at an upstream behind all that can be answered in time.
+func (s *State) lateFinish(u *upstream, priority int) time.Duration {
+	if u.Node == s.cfg.Self {
+		return s.target.queue.lateWait(priority, s.slots()) + s.target.queue.least[priority].time
+	}
+	return u.load.report.LateWaits[priority] + u.load.report.Services[priority] + hopMargin + s.extraHop(u.Zone)
+}
+
 // refusesEarly reports whether fresh reports of all usable upstreams say that a new call cannot finish in
 // time. One such call in earlyProbe is let through.
 func (s *State) refusesEarly(call *ingressCall) bool {
@@ -152,8 +168,11 @@
 		if u.Node != s.cfg.Self && !u.load.fresh(s.now, earlyReportFresh) {
 			return false
 		}
-		wait := s.expectedWait(u, call.route.Priority)
-		if wait == 0 || s.expectedFinish(u, call.route.Priority) <= call.deadline-s.now {
+		wait, finish := s.expectedWait(u, call.route.Priority), s.expectedFinish(u, call.route.Priority)
+		if wait == 0 || finish <= call.fitBy(s.now)-s.now {
+			return false
+		}
+		if call.due > 0 && s.lateFinish(u, call.route.Priority) <= call.deadline-s.now {
 			return false
 		}
 	}
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -35,6 +35,8 @@
 	queuedAt   time.Duration
 	startedAt  time.Duration
 	deadline   time.Duration
+	due        time.Duration // when its response loses worth; 0 when that is not known
+	late       bool          // it cannot be answered by then
 	cost       time.Duration // expected slot time
 	byShare    bool          // got its slot for the minimum share of its priority
 	order      uint64        // of queueing
@@ -71,7 +73,7 @@
 		handle: call.handle, id: call.id, attempt: call.attempt, route: call.route.Name, key: call.key,
 		keyRetention: call.route.KeyRetention, pool: call.route.Pool, priority: call.route.Priority,
 		idempotent: call.route.Idempotent, local: true, limits: call.limits, bytes: call.reserved, requestID: call.requestID,
-		deadline: call.deadline,
+		deadline: call.deadline, due: call.due,
 	}
 }
 
@@ -79,7 +81,7 @@
 	call := &targetCall{
 		handle: in.Call, id: in.ID, attempt: max(in.Attempt, 1), route: in.Route, key: in.Key,
 		keyRetention: in.KeyRetention, pool: in.Pool, priority: min(max(in.Priority, 0), tables.Priorities-1),
-		idempotent: in.Idempotent, limits: in.Limits, requestID: in.RequestID, bytes: in.BodyBytes, deadline: s.now + in.TimeLeft,
+		idempotent: in.Idempotent, limits: in.Limits, requestID: in.RequestID, bytes: in.BodyBytes, deadline: s.now + in.TimeLeft, due: dueAt(s.now, in.DueIn),
 		arrivedAt: s.now,
 	}
 	if in.TargetIncarnation != s.cfg.Incarnation {
@@ -89,6 +91,14 @@
 	s.admitTarget(call)
 }
 
+// dueAt returns a time from the time that is left until it, which is 0 for none.
+func dueAt(now, left time.Duration) time.Duration {
+	if left == 0 {
+		return 0
+	}
+	return now + left
+}
+
 // admitTarget queues a call, or refuses it. A refused call has no trace and never runs.
 func (s *State) admitTarget(call *targetCall) {
 	if !call.idempotent && s.joinRecord(call) {
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -128,6 +128,7 @@
 // LoadReport is what a target node says about its queue with each response.
 type LoadReport struct {
 	Waits       [tables.Priorities]time.Duration // expected time in the queue, by priority
+	LateWaits   [tables.Priorities]time.Duration // the same for calls that are late already
 	ServiceTime time.Duration                    // observed time of one execution
 	// Services is the shortest expected service time among the recent calls of each priority, 0 when
 	// there were none.
--- a/runner/peer/fuzz_test.go
+++ b/runner/peer/fuzz_test.go
@@ -69,7 +69,7 @@
 		wireControl(targetHeartbeat()), wireControl(targetMembers(2)), wireControl(reducer.MemberDigest{Buckets: []uint64{1}}),
 		wireControl(reducer.ConfigUpdate{Delta: &tables.Delta{Version: 2, Routes: []tables.Piece{{First: 1, Count: 2}}}}),
 		&ForwardArgs{Route: "r", Header: map[string][]string{"A": {"b"}}, Body: []byte("x")}, &SettleArgs{Key: "k"},
-		&Answer{Outcome: 1, Load: Load{Waits: make([]int64, 9)}},
+		&Answer{Outcome: 1, Load: Load{Wait: make([]uint32, 9)}},
 	}
 	for kind, message := range messages {
 		var conn sink
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -30,39 +30,60 @@
 	return reducer.CallID{Origin: reducer.NodeID(id.Origin), Incarnation: reducer.Incarnation(id.Incarnation), Seq: id.Seq}
 }
 
-// Load is reducer.LoadReport on the wire.
+// Load is reducer.LoadReport on the wire. It is a part of every answer to a call, so that it is kept short: times are in units of 0.1 ms, and
+// lists end at the last priority that has calls.
 type Load struct {
-	Waits       []int64 // ns by priority
-	ServiceTime int64   // ns
-	Slots       int
-	Running     int
-	Queued      int
-	Services    []int64 // ns by priority
+	Service   uint32 // time of one execution
+	Slots     int
+	Running   int
+	Queued    int
+	Wait      []uint32 // by priority
+	LateWait  []uint32 // by priority
+	LeastTime []uint32 // shortest service time by priority
 }
 
+// loadUnit is the unit of the times in a Load.
+const loadUnit = 100 * time.Microsecond
+
 func wireLoad(l reducer.LoadReport) Load {
-	out := Load{ServiceTime: int64(l.ServiceTime), Slots: l.Slots, Running: l.Running, Queued: l.Queued}
-	for _, wait := range l.Waits {
-		out.Waits = append(out.Waits, int64(wait))
+	return Load{
+		Service: loadTime(l.ServiceTime), Slots: l.Slots, Running: l.Running, Queued: l.Queued,
+		Wait: loadTimes(l.Waits[:]), LateWait: loadTimes(l.LateWaits[:]), LeastTime: loadTimes(l.Services[:]),
+	}
+}
+
+// loadTime returns a time in units, at least one unless it is 0.
+func loadTime(t time.Duration) uint32 { return uint32((t + loadUnit - 1) / loadUnit) }
+
+func loadTimes(times []time.Duration) []uint32 {
+	used := len(times)
+	for used > 0 && times[used-1] == 0 {
+		used--
 	}
-	for _, service := range l.Services {
-		out.Services = append(out.Services, int64(service))
+	if used == 0 {
+		return nil
+	}
+	out := make([]uint32, used)
+	for i, t := range times[:used] {
+		out[i] = loadTime(t)
 	}
 	return out
 }
 
-func (l Load) value() reducer.LoadReport {
-	out := reducer.LoadReport{ServiceTime: time.Duration(l.ServiceTime), Slots: l.Slots, Running: l.Running, Queued: l.Queued}
-	for priority, wait := range l.Waits {
-		if priority < len(out.Waits) {
-			out.Waits[priority] = time.Duration(wait)
-		}
+// fillTimes is the reverse of loadTimes.
+func fillTimes(times []time.Duration, from []uint32) {
+	for i, t := range from[:min(len(from), len(times))] {
+		times[i] = time.Duration(t) * loadUnit
 	}
-	for priority, service := range l.Services {
-		if priority < len(out.Services) {
-			out.Services[priority] = time.Duration(service)
-		}
+}
+
+func (l Load) value() reducer.LoadReport {
+	out := reducer.LoadReport{
+		ServiceTime: time.Duration(l.Service) * loadUnit, Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 	}
+	fillTimes(out.Waits[:], l.Wait)
+	fillTimes(out.LateWaits[:], l.LateWait)
+	fillTimes(out.Services[:], l.LeastTime)
 	return out
 }
 
@@ -81,6 +102,7 @@
 	Depth             int
 	RetriesLeft       int
 	RequestID         string
+	DueIn             int64 // ns
 
 	Method string
 	URI    string
@@ -129,8 +151,8 @@
 		ID: wireID(f.ID), Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority,
 		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: int64(f.KeyRetention), TimeLeft: int64(f.TimeLeft),
 		TargetIncarnation: uint64(f.To.Incarnation), Depth: f.Limits.Depth, RetriesLeft: f.Limits.RetriesLeft,
-		RequestID: f.RequestID,
-		Method:    request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
+		RequestID: f.RequestID, DueIn: int64(f.DueIn),
+		Method: request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
 	}
 }
 
@@ -139,7 +161,7 @@
 		Call: call, ID: a.ID.value(), Attempt: a.Attempt, Route: a.Route, Pool: a.Pool, Priority: a.Priority,
 		Idempotent: a.Idempotent, Key: a.Key, KeyRetention: time.Duration(a.KeyRetention),
 		TimeLeft: time.Duration(a.TimeLeft), TargetIncarnation: reducer.Incarnation(a.TargetIncarnation),
-		RequestID: a.RequestID, BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
+		RequestID: a.RequestID, DueIn: time.Duration(a.DueIn), BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
 	}
 }
 
