--- a/internal/measure/policy/cluster.go
+++ b/internal/measure/policy/cluster.go
@@ -250,7 +250,7 @@
 		to.handles++
 		to.settles[to.handles] = forwardOrigin{n, e.Call, e.Attempt}
 		to.reduce(reducer.SettleArrived{
-			Exchange: to.handles, ID: e.ID, Route: e.Route, TargetIncarnation: e.To.Incarnation, TimeLeft: e.TimeLeft, DueIn: e.DueIn,
+			Exchange: to.handles, ID: e.ID, Route: e.Route, TargetIncarnation: e.To.Incarnation, TimeLeft: e.TimeLeft,
 		})
 	})
 }
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -90,7 +90,7 @@
 	if reason != ReasonNone {
 		in.FirstAttempt = s.claimsFirst(in)
 		outcome := in.RefusalOutcome()
-		s.emit(Respond{Call: in.Call, Outcome: outcome, Reason: reason, RetryAfter: retryAfter(reason)})
+		s.emit(Respond{Call: in.Call, Outcome: outcome, Reason: reason, RetryAfter: pauseFor(reason)})
 		s.emit(CallFinished{Call: in.Call, RequestID: in.RequestID, Version: s.config.active.ID().Number, Route: route.Name, Priority: route.Priority, Outcome: outcome, Reason: reason})
 		return
 	}
@@ -455,22 +455,11 @@
 	call.phase = phase
 }
 
-// overloadPause is the hint for callers that were refused under load.
-const overloadPause = time.Second
-
-// retryAfter returns how long a caller should wait before it tries again, 0 when no hint can be given.
-func retryAfter(reason Reason) time.Duration {
-	if overloadRefusal(reason) || reason == ReasonOverloaded {
-		return overloadPause
-	}
-	return 0
-}
-
 func (s *State) refuse(call *ingressCall, outcome Outcome, reason Reason) {
 	if outcome == OutcomeNotRun && !call.certainNotRun() {
 		outcome = OutcomeUnknown
 	}
-	s.emit(Respond{Call: call.handle, ID: call.id, Outcome: outcome, Reason: reason, RetryAfter: retryAfter(reason)})
+	s.emit(Respond{Call: call.handle, ID: call.id, Outcome: outcome, Reason: reason, RetryAfter: s.retryAfter(call, outcome, reason)})
 	s.finish(call, outcome, reason)
 }
 
--- a/reducer/worth_test.go
+++ b/reducer/worth_test.go
@@ -119,3 +119,32 @@
 		t.Errorf("work ahead of a call due at 305 is %v, expected 3ms", ahead)
 	}
 }
+
+// Guards against a pause that is longer than the caller has, so that it comes back when its response has lost its worth,
+// and against one that brings callers back before there is room.
+func TestRetryAfterFollowsTheQueue(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		wait time.Duration
+		want time.Duration
+	}{
+		{"a little too long", 1040 * time.Millisecond, 54 * time.Millisecond}, // 1 s left, 10 ms of work and a hop of 4 ms
+		{"far too long", time.Minute, time.Second / worthPart},
+		{"just too long", 990 * time.Millisecond, minRetryAfter},
+	} {
+		d := newTestIngress(t)
+		d.reportAll(c.wait)
+		var told time.Duration
+		for told == 0 { // one call in 16 is sent all the same
+			for _, effect := range d.reduce(CallArrived{Call: Handle(1000 + d.now), Host: "h", Method: "GET", Path: "/", RetriesLeft: -1}) {
+				if respond, ok := effect.(Respond); ok {
+					told = respond.RetryAfter
+				}
+			}
+			d.now++
+		}
+		if told.Round(time.Millisecond) != c.want.Round(time.Millisecond) {
+			t.Errorf("%s: caller is told to wait %v, expected %v", c.name, told, c.want)
+		}
+	}
+}
