--- a/reducer/config.go
+++ b/reducer/config.go
@@ -222,18 +222,19 @@
 	s.config.lastDelta = delta
 	s.log(LevelInfo, "configuration active", Field{"version", c.id.Number}, Field{"hash", c.id.Hash})
 	s.emit(Publish{Snapshot: c.snapshot})
-	s.announce(c.from.Node)
+	s.announce(c)
 	s.startCalls()
 }
 
-// announce tells the peers about the version that became active. Without a delta only its number is sent: the
-// node has started or was behind, so that most peers hold the version, and the others ask for it.
-func (s *State) announce(except NodeID) {
-	if base := s.config.lastDelta.Base; base.Number != 0 {
-		s.flood(s.configAnswer(base), except)
+// announce tells the peers about the version that became active. Only its number is sent without a delta, because the
+// node has started or was behind, and by a reader, because other readers have it from the store as well: most peers
+// hold the version, and the others ask for it.
+func (s *State) announce(c *candidate) {
+	if base := s.config.lastDelta.Base; base.Number != 0 && !c.stored {
+		s.flood(s.configAnswer(base), c.from.Node)
 		return
 	}
-	s.flood(s.heartbeat(true), except)
+	s.flood(s.heartbeat(true), c.from.Node)
 }
 
 // configAnswer returns the active version for a peer that holds another one: as a delta when it is known
--- a/reducer/distance.go
+++ b/reducer/distance.go
@@ -8,6 +8,9 @@
 	// observed: about the round trips to the next zone and around the world.
 	minDistance = 2 * time.Millisecond
 	maxDistance = 300 * time.Millisecond
+	// zoneMargin is the wait that a call takes in its own zone before it is sent to another one: users pay for the bytes
+	// between zones, and the wait is small against the time in which responses have their full worth.
+	zoneMargin = 15 * time.Millisecond
 	// distanceStep is the part by which an observation moves the distance towards itself. It bounds the
 	// weight of an observation that is wrong, such as one over a new connection.
 	distanceStep = 16
@@ -75,7 +78,7 @@
 	if zone == s.cfg.Zone {
 		return 0
 	}
-	return max(s.distanceOf(zone)/2, minDistance)
+	return max(s.distanceOf(zone)/2, zoneMargin)
 }
 
 // extraHop returns the time by which the way to a zone is longer than hopMargin allows for.
--- a/runner/backend/client.go
+++ b/runner/backend/client.go
@@ -310,8 +310,11 @@
 			return nil, false, errNotHTTP
 		}
 		if front.Answers(h.header, in.Header, in.StatusCode) {
-			response := &traffic.Response{Status: in.StatusCode, Header: in.Header, Body: body}
-			return response, c.keep(in), nil
+			reuse := c.keep(in)
+			for _, name := range connectionHeaders {
+				delete(in.Header, name) // not carried to the ingress node
+			}
+			return &traffic.Response{Status: in.StatusCode, Header: in.Header, Body: body}, reuse, nil
 		}
 		if in.Close {
 			break
@@ -340,6 +343,9 @@
 	return in, body, err
 }
 
+// connectionHeaders belong to the connection with the backend server.
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding"}
+
 // keep reports whether the connection may be used after a response, and notes for how long.
 func (c *backendConn) keep(in *http.Response) bool {
 	if in.Close || c.reader.Buffered() > 0 {
--- a/runner/ingress/http.go
+++ b/runner/ingress/http.go
@@ -63,6 +63,7 @@
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
+	header.Del("Content-Length") // of the body that is passed on
 	s.Front.Entered(header)
 	return &traffic.Request{Method: r.Method, URI: r.URL.RequestURI(), Host: r.Host, Header: header}
 }
