--- a/cmd/rosemaryhatchctl/main.go
+++ b/cmd/rosemaryhatchctl/main.go
@@ -16,7 +16,10 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/rosemaryhatch/rosemaryhatch/operator"
+	"github.com/rosemaryhatch/rosemaryhatch/platform"
+	"github.com/rosemaryhatch/rosemaryhatch/platform/hosted"
 	"github.com/rosemaryhatch/rosemaryhatch/platform/kv"
+	"github.com/rosemaryhatch/rosemaryhatch/settings"
 )
 
 const programName = "rosemaryhatchctl"
@@ -29,7 +32,7 @@
 
 // flags are the values that the command line gives.
 type flags struct {
-	platform, output, author, editor string
+	platform, mode, output, author, editor string
 
 	routes, pools, from, to, directory, shell string
 	expect, version                           uint64
@@ -55,7 +58,7 @@
 	c := &command{
 		flags:  f,
 		app:    app,
-		runner: &operator.Runner{Store: kv.New(f.platform)},
+		runner: &operator.Runner{Store: kv.New(f.platform), Source: f.source()},
 		out:    operator.Output{Writer: stdout, JSON: f.output == "json"},
 		err:    stderr,
 	}
@@ -66,6 +69,7 @@
 	app := kingpin.New(programName, "Edits the tables of routes and pools and shows the state of the nodes.\n\n"+operator.ExitHelp)
 	app.HelpFlag.Short('h')
 	app.Flag("platform", "Address of the platform's key-value service, IP:port.").Envar("ROSEMARYHATCH_PLATFORM").StringVar(&f.platform)
+	app.Flag("mode", "Whose tables: own, which this program writes, or hosted, which the platform's operator writes.").Default(settings.ModeOwn).EnumVar(&f.mode, settings.ModeOwn, settings.ModeHosted)
 	app.Flag("output", "Form of the output: text or json.").Default("text").EnumVar(&f.output, "text", "json")
 	app.Flag("author", "Name that is stored with a version.").Envar("USER").StringVar(&f.author)
 	addTableCommands(app, f)
@@ -120,6 +124,14 @@
 	command.Flag("node", help).StringsVar(&f.nodes)
 }
 
+// source returns where the tables are.
+func (f *flags) source() platform.Source {
+	if f.mode == settings.ModeHosted {
+		return hosted.Source()
+	}
+	return platform.OwnSource()
+}
+
 // check returns what is wrong with the command line.
 func (f *flags) check(name string) error {
 	if f.needsStore(name) || f.platform != "" {
--- a/cmd/rosemaryhatchctl/main_test.go
+++ b/cmd/rosemaryhatchctl/main_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	standin "github.com/rosemaryhatch/rosemaryhatch/internal/standin/platform"
+	"github.com/rosemaryhatch/rosemaryhatch/platform/hosted"
 )
 
 // tool runs the program against an empty store.
@@ -105,3 +106,21 @@
 	c.write("close", "")
 	<-ended
 }
+
+// Guards against tables of the platform's operator that are replaced, or shown as if there were none.
+func TestOperatorsTablesAreShownAndNotWritten(t *testing.T) {
+	stand := standin.New()
+	server := httptest.NewServer(stand)
+	defer server.Close()
+	c := newTool(t)
+	c.platform = server.Listener.Addr().String()
+	stand.OperatorPut(hosted.KeyConfig, []byte(`{"version":"0000000a","services":[{"name":"desk","max-connections":9}],"virtual-hosts":[{"host":"h.example",
+"paths":[{"name":"r-1","prefix":"/a/","kind":"idempotent","timeout-ms":800,"target-latency-ms":300,"priority":1,"service":"desk","max-attempts":2}]}]}`))
+	c.run(0, "target_latency = 300ms", "--mode", "hosted", "get")
+	c.run(0, "service = desk", "--mode", "hosted", "get")
+	c.run(0, "10", "--mode", "hosted", "history")
+	const owned = "owned by the platform's operator"
+	c.run(1, owned, "--mode", "hosted", "apply", c.file("routes.ini"), c.file("pools.ini"), "--expect", "10")
+	c.run(1, owned, "--mode", "hosted", "rollback", "3")
+	c.run(1, "no version", "get")
+}
--- a/node/node.go
+++ b/node/node.go
@@ -131,10 +131,10 @@
 	self := peer.NewIdentity(s.Node.System, reducer.PeerRef{
 		Node: reducer.NodeID(s.Node.ID), Address: s.Listen.PeerAddress(), Incarnation: incarnation,
 	})
-	front, from := frontend.FrontEnd(frontend.Native{}), store.OwnTables()
+	front, source := frontend.FrontEnd(frontend.Native{}), platform.OwnSource()
 	if s.Platform.Mode == settings.ModeHosted {
 		front = hosted.FrontEnd{Service: s.Backend.Service}
-		from = store.Tables{Key: hosted.KeyConfig, Decode: hosted.DecodeConfig}
+		source = hosted.Source()
 	}
 	n.backend = backend.NewRunner(n.answers, front)
 	n.peers = peer.NewClient(self, n.thread.Post, n.metrics)
@@ -147,7 +147,7 @@
 		Events: n.thread, Mailboxes: n.mailboxes, Answers: n.answers, Forwarder: n.peers, Backend: n.backend,
 		Front: front, Tracer: n.tracer, Logger: n.logger, Workers: n.workers, Refused: n.metrics.CallerRefused,
 	})
-	n.store = store.New(kv, from, n.thread.Post)
+	n.store = store.New(kv, source, n.thread.Post)
 	registrations := backend.RegisterHandler(n.thread, n.mailboxes, backend.Expected{Service: s.Backend.Service, Address: s.Backend.Address})
 	n.register = &http.Server{Handler: registrations, ReadTimeout: registerTimeout, WriteTimeout: registerTimeout}
 	var err error
--- a/operator/edit.go
+++ b/operator/edit.go
@@ -329,8 +329,8 @@
 
 // decodeDocument reads a document from an entry of the store.
 func decodeDocument(key string, entry platform.Entry) (tables.Document, error) {
-	var document tables.Document
-	if err := json.Unmarshal(entry.Value, &document); err != nil {
+	document, err := platform.DecodeDocument(entry.Value)
+	if err != nil {
 		return tables.Document{}, fmt.Errorf("store key %q holds no document, expected JSON with version, edit_id, author, routes, pools and hash: %w", key, err)
 	}
 	return document, nil
--- a/operator/runner.go
+++ b/operator/runner.go
@@ -19,6 +19,8 @@
 // Runner carries out the effects of a machine.
 type Runner struct {
 	Store platform.Store
+	// Source is where the tables are; the zero value is that of rosemaryhatchctl.
+	Source platform.Source
 	// Sleep pauses until the duration is over or the context ends; nil means a timer.
 	Sleep func(context.Context, time.Duration)
 }
@@ -80,8 +82,28 @@
 	return hex.EncodeToString(id[:])
 }
 
+// source returns where the tables are.
+func (r *Runner) source() platform.Source {
+	if r.Source.Key == "" {
+		return platform.OwnSource()
+	}
+	return r.Source
+}
+
+// owned says why the tables cannot be written, or returns nothing.
+func (r *Runner) owned() string {
+	source := r.source()
+	if source.Owner == "" {
+		return ""
+	}
+	return fmt.Sprintf("the tables are owned by %s, who writes the key %q; nothing was changed", source.Owner, source.Key)
+}
+
 // Apply checks both tables and writes them as a new version.
 func (r *Runner) Apply(ctx context.Context, request Request, routesFile, poolsFile string) Result {
+	if owned := r.owned(); owned != "" {
+		return Result{Outcome: Failed, Problem: owned}
+	}
 	if problems := CheckTables(request.Routes, request.Pools, routesFile, poolsFile); len(problems) > 0 {
 		return Result{Outcome: Invalid, Problem: joinLines(problems)}
 	}
@@ -91,6 +113,9 @@
 // Rollback writes a new version with the tables of an old one. Only the check of the nodes applies, so that
 // every version that was active can be active again.
 func (r *Runner) Rollback(ctx context.Context, version uint64, request Request) Result {
+	if owned := r.owned(); owned != "" {
+		return Result{Outcome: Failed, Problem: owned}
+	}
 	old, err := r.Fetch(ctx, version)
 	if err != nil {
 		return Result{Outcome: Failed, Problem: err.Error()}
@@ -105,8 +130,18 @@
 
 // Current returns the version in the store. The document has version 0 when the store is empty.
 func (r *Runner) Current(ctx context.Context) (tables.Document, error) {
-	document, _, err := r.read(ctx, platform.KeyConfig)
-	return document, err
+	source := r.source()
+	if source.Owner == "" {
+		document, _, err := r.read(ctx, platform.KeyConfig)
+		return document, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	entry, err := r.Store.Get(ctx, source.Key)
+	if err != nil || entry.Revision == 0 {
+		return tables.Document{}, err
+	}
+	return source.Decode(entry.Value)
 }
 
 // Fetch returns a version from the store or its history.
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -6,13 +6,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"sync"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/platform"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
-	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
 const (
@@ -23,30 +21,10 @@
 	watchMargin = 2 * time.Second
 )
 
-// Tables says where the platform holds the tables and how they are read.
-type Tables struct {
-	Key    string
-	Decode func(value []byte) (tables.Document, error)
-}
-
-// OwnTables returns the tables that rosemaryhatchctl writes.
-func OwnTables() Tables { return Tables{Key: platform.KeyConfig, Decode: decodeDocument} }
-
-func decodeDocument(value []byte) (tables.Document, error) {
-	var document tables.Document
-	if err := json.Unmarshal(value, &document); err != nil {
-		return tables.Document{}, err
-	}
-	if document.Version == 0 {
-		return tables.Document{}, errors.New("the document has no version")
-	}
-	return document, nil
-}
-
 // Runner carries out platform effects.
 type Runner struct {
 	store  platform.Store
-	tables Tables
+	source platform.Source
 	post   func(reducer.Input) bool
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -54,9 +32,9 @@
 }
 
 // New returns a runner that posts results as events.
-func New(store platform.Store, from Tables, post func(reducer.Input) bool) *Runner {
+func New(store platform.Store, source platform.Source, post func(reducer.Input) bool) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Runner{store: store, tables: from, post: post, ctx: ctx, cancel: cancel}
+	return &Runner{store: store, source: source, post: post, ctx: ctx, cancel: cancel}
 }
 
 // Close ends the calls under way and waits for their goroutines.
@@ -115,7 +93,7 @@
 }
 
 func (r *Runner) read(ctx context.Context) reducer.Input {
-	entry, err := r.store.Get(ctx, r.tables.Key)
+	entry, err := r.store.Get(ctx, r.source.Key)
 	if err != nil {
 		return reducer.StoreRead{Result: reducer.StoreUnknown}
 	}
@@ -123,7 +101,7 @@
 }
 
 func (r *Runner) watch(ctx context.Context, e reducer.WatchStore) reducer.Input {
-	outcome, entry, err := r.store.Watch(ctx, r.tables.Key, e.After, watchWait)
+	outcome, entry, err := r.store.Watch(ctx, r.source.Key, e.After, watchWait)
 	read := reducer.StoreRead{Result: reducer.StoreUnknown}
 	switch {
 	case err != nil:
@@ -144,7 +122,7 @@
 	if entry.Revision == 0 {
 		return read
 	}
-	document, err := r.tables.Decode(entry.Value)
+	document, err := r.source.Decode(entry.Value)
 	if err != nil {
 		read.Result, read.Problem = reducer.StoreMalformed, err.Error()
 		return read
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -24,7 +24,7 @@
 	stand := standin.New()
 	server := httptest.NewServer(stand)
 	r := &rig{stand: stand, store: kv.New(server.Listener.Addr().String()), events: make(chan reducer.Input, 1)}
-	r.runner = New(r.store, OwnTables(), func(in reducer.Input) bool { r.events <- in; return true })
+	r.runner = New(r.store, platform.OwnSource(), func(in reducer.Input) bool { r.events <- in; return true })
 	t.Cleanup(func() {
 		r.runner.Close()
 		server.Close()
