A leave of a life that is not known is remembered, and the store takes it

A node restarted, acknowledged the leave of a life that it had not heard of, and took a registration from before the leave, which came 2.1 s later, for the newest. Two causes: the leave does not say when the life was born, so it was ordered as another life; and the store had refused the key of the leave, whose value was null. Ruled out: the drain within one process. Leaves are held by instance with the time of their arrival now, and the value is text. The stand-in refuses null as the platform does.

--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -241,6 +241,8 @@
 		switch {
 		case strings.HasPrefix(write.Key, OperatorPrefix):
 			return http.StatusForbidden, kv.TxnResult{}
+		case write.Value == nil: // null is not base64 text
+			return http.StatusBadRequest, kv.TxnResult{}
 		case len(write.Value) > platform.MaxValueBytes:
 			return http.StatusRequestEntityTooLarge, kv.TxnResult{}
 		case write.Lease != 0 && s.leases[write.Lease] == nil:
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -21,16 +21,18 @@
 
 // registrationState orders what the backend server beside this node says.
 //
-// Invariants: nothing that it said before what is held here changes anything, a life that has left is never ready
+// Invariants: nothing that it said before what is held here changes anything, a life that has left gets no new work
 // again, and a life that is older than this process is ready only once it is known not to have left before.
 type registrationState struct {
 	life     life
 	sequence uint64 // newest within the life
-	left     bool   // it has said that it leaves
+	// gone holds, by instance, when lives said that they leave, in Unix milliseconds by this node's clock. A life of the
+	// same name that was born before is the one that left; a leave does not always say which life it is of.
+	gone map[string]int64
 	// unsure is a registration of a life that an earlier process here may have acknowledged to be leaving.
 	unsure *BackendRegistered
-	kept   life            // newest leave that the platform's store keeps
-	acks   map[Handle]life // leaves that are acknowledged once the store keeps them
+	kept   string            // instance of the newest leave that the platform's store keeps
+	acks   map[Handle]string // leaves that are acknowledged once the store keeps them
 }
 
 // ordersBefore reports whether a registration is older than what is held.
@@ -41,14 +43,25 @@
 	case in.Instance != r.life.instance:
 		return false
 	default:
-		return in.Sequence != 0 && in.Sequence <= r.sequence || r.left
+		return in.Sequence != 0 && in.Sequence <= r.sequence
 	}
 }
 
+// hasLeft reports whether the life of a registration has said that it leaves.
+func (r *registrationState) hasLeft(in BackendRegistered) bool {
+	at, ok := r.gone[in.Instance]
+	return ok && in.Born <= at
+}
+
+// wallClock returns the time in Unix milliseconds, by the clock of this instance at the start of the process.
+func (s *State) wallClock() int64 {
+	return int64(time.Duration(s.cfg.Incarnation)/time.Millisecond) + s.now.Milliseconds()
+}
+
 func (s *State) backendRegistered(in BackendRegistered) {
 	r := &s.registration
 	switch {
-	case r.ordersBefore(in):
+	case r.hasLeft(in) || r.ordersBefore(in):
 		s.log(LevelInfo, "registration is older than the one held", Field{"instance", in.Instance}, Field{"born", in.Born},
 			Field{"sequence", in.Sequence}, Field{"held_instance", r.life.instance}, Field{"held_born", r.life.born}, Field{"held_sequence", r.sequence})
 		s.acknowledge(in.Exchange)
@@ -92,8 +105,7 @@
 	unsure := *r.unsure
 	switch in.Result {
 	case StoreOK:
-		r.unsure = nil
-		s.leaves(life{unsure.Instance, unsure.Born})
+		s.leaves(unsure.Instance)
 	case StoreAbsent:
 		s.register(unsure)
 	}
@@ -108,9 +120,6 @@
 	if newLife || b.state != UpstreamReady && b.state != UpstreamDraining {
 		b.readySince = s.now
 	}
-	if newLife {
-		r.left = false
-	}
 	r.life, r.sequence, r.unsure = now, in.Sequence, nil
 	b.service, b.address, b.declared, b.instance = in.Service, in.Address, in.Slots, in.Instance
 	b.state = UpstreamReady
@@ -134,7 +143,7 @@
 // acknowledgeRegistration answers a registration at once, unless it says that the backend server drains.
 func (s *State) acknowledgeRegistration(in BackendRegistered) {
 	if in.Draining {
-		s.keepLeave(in.Exchange, life{in.Instance, in.Born})
+		s.keepLeave(in.Exchange, in.Instance)
 		return
 	}
 	s.acknowledge(in.Exchange)
@@ -144,29 +153,31 @@
 // remembered, because a registration from before may still be on its way.
 func (s *State) backendLeaves(in BackendLeaves) {
 	r := &s.registration
-	leaving := life{in.Instance, in.Born}
-	if in.Born == 0 && in.Instance == r.life.instance {
-		leaving.born = r.life.born
-	}
-	if leaving != r.life && leaving.born < r.life.born {
-		s.log(LevelInfo, "leave of another life of the backend server", Field{"instance", in.Instance}, Field{"held_instance", r.life.instance})
+	if in.Born != 0 && in.Instance == r.life.instance && in.Born < r.life.born {
+		s.log(LevelInfo, "leave of another life of the backend server", Field{"instance", in.Instance}, Field{"held_born", r.life.born})
 		s.acknowledge(in.Exchange)
 		return
 	}
-	s.leaves(leaving)
-	s.keepLeave(in.Exchange, leaving)
+	s.leaves(in.Instance)
+	s.keepLeave(in.Exchange, in.Instance)
 }
 
+// maxGone bounds the lives that are remembered as having left. One instance has few in a minute, the longest time for
+// which a registration may be late.
+const maxGone = 32
+
 // leaves gives a life of the backend server no new calls any more.
-func (s *State) leaves(leaving life) {
+func (s *State) leaves(instance string) {
 	b, r := &s.backend, &s.registration
 	before := *b
-	if leaving != r.life {
-		r.life, r.sequence = leaving, 0
-		b.instance = leaving.instance
+	if r.gone == nil || len(r.gone) >= maxGone {
+		r.gone = map[string]int64{}
+	}
+	r.gone[instance] = s.wallClock()
+	if r.unsure != nil && r.unsure.Instance == instance {
+		r.unsure = nil
 	}
-	r.left, r.unsure = true, nil
-	if b.state == UpstreamReady {
+	if r.life.instance == instance && b.state == UpstreamReady {
 		b.state = UpstreamDraining
 	}
 	s.backendChanged(before)
@@ -174,23 +185,23 @@
 
 // keepLeave writes a leave to the platform's store, because this process may end before the backend server does, and
 // acknowledges it once it is kept or the wait is over.
-func (s *State) keepLeave(exchange Handle, leaving life) {
+func (s *State) keepLeave(exchange Handle, instance string) {
 	r := &s.registration
-	if !s.cfg.Discover || r.kept == leaving {
+	if !s.cfg.Discover || r.kept == instance {
 		s.acknowledge(exchange)
 		return
 	}
 	if r.acks == nil {
-		r.acks = map[Handle]life{}
+		r.acks = map[Handle]string{}
 	}
-	r.acks[exchange] = leaving
+	r.acks[exchange] = instance
 	s.timers.set(timerKey{kind: timerLeaveKept, call: exchange}, s.now+leaveKeepWait)
-	s.emit(KeepLeave{Exchange: exchange, Instance: leaving.instance, TTL: leaveKeepTime})
+	s.emit(KeepLeave{Exchange: exchange, Instance: instance, TTL: leaveKeepTime})
 }
 
 func (s *State) leaveKept(in LeaveKept) {
 	if in.Result != StoreOK {
-		s.log(LevelWarn, "leave of the backend server is not kept", Field{"instance", s.registration.acks[in.Exchange].instance})
+		s.log(LevelWarn, "leave of the backend server is not kept", Field{"instance", s.registration.acks[in.Exchange]})
 		return // acknowledged when the wait is over
 	}
 	s.registration.kept = s.registration.acks[in.Exchange]
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -140,13 +140,16 @@
 	return reducer.NodeAnnounced{Result: writeResult(outcome), Lease: e.Lease}
 }
 
+// leaveValue is the value of the key of a leave; the key says all.
+var leaveValue = []byte("left")
+
 // keepLeave writes a key for a life that leaves, under a lease of its own: the lease of a node ends with it.
 func (r *Runner) keepLeave(ctx context.Context, e reducer.KeepLeave) reducer.StoreResult {
 	lease, err := r.store.GrantLease(ctx, e.TTL)
 	if err != nil {
 		return reducer.StoreUnknown
 	}
-	outcome, _ := r.store.PutLeased(ctx, platform.KeyLeavePrefix+e.Instance, nil, lease) // the outcome says all that counts
+	outcome, _ := r.store.PutLeased(ctx, platform.KeyLeavePrefix+e.Instance, leaveValue, lease) // the outcome says all that counts
 	return writeResult(outcome)
 }
 
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -115,3 +115,18 @@
 		t.Errorf("entry after the lapse: result %d", result)
 	}
 }
+
+// Guards against a leave that the store does not take, so that a node that restarts does not know of it: its value was
+// null, which is not text.
+func TestLeavesAreKept(t *testing.T) {
+	r := start(t)
+	kept := r.perform(t, reducer.KeepLeave{Exchange: 7, Instance: "i-1", TTL: time.Minute}).(reducer.LeaveKept)
+	if kept != (reducer.LeaveKept{Exchange: 7, Result: reducer.StoreOK}) {
+		t.Errorf("kept: %+v", kept)
+	}
+	for instance, want := range map[string]reducer.StoreResult{"i-1": reducer.StoreOK, "i-2": reducer.StoreAbsent} {
+		if read := r.perform(t, reducer.ReadLeave{Instance: instance}).(reducer.LeaveRead); read.Result != want {
+			t.Errorf("%s: result %d, expected %d", instance, read.Result, want)
+		}
+	}
+}
