--- a/node/runtime.go
+++ b/node/runtime.go
@@ -14,7 +14,7 @@
 	// was collected several times a second.
 	heapReserve = 64 << 20
 	// reservePart is the part of the memory that the reserve takes of a process whose memory is bounded.
-	reservePart = 16
+	reservePart = 48
 	// memoryLimitPercent is the share of the memory from which on the runtime collects garbage as often as it takes;
 	// the rest is for what the runtime does not count, such as received bytes that were not read.
 	memoryLimitPercent = 60
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -18,6 +18,7 @@
 	familyAttempts  = "rosemaryhatch_call_attempts_total"
 	familyRetries   = "rosemaryhatch_call_retries_total"
 	familyQueue     = "rosemaryhatch_queue_seconds"
+	familyLatency   = "rosemaryhatch_call_seconds"
 	familyRefusals  = "rosemaryhatch_refusals_total"
 	familyVersion   = "rosemaryhatch_config_version"
 	familyAge       = "rosemaryhatch_config_age_seconds"
@@ -47,6 +48,7 @@
 	attempts  metrics.Counter
 	retries   metrics.Counter
 	queue     [tables.Priorities]*histogram
+	latency   [tables.Priorities]*histogram
 	event     *histogram
 	bytes     map[string]metrics.Counter // by class and direction; never changed
 	messages  map[string]messageCounter  // by kind and direction; never changed
@@ -79,7 +81,9 @@
 		messages: map[string]messageCounter{},
 	}
 	for priority := range m.queue {
-		m.queue[priority] = newHistogram(r, familyQueue, fmt.Sprintf("priority=%q,", fmt.Sprint(priority)))
+		label := fmt.Sprintf("priority=%q,", fmt.Sprint(priority))
+		m.queue[priority] = newHistogram(r, familyQueue, label)
+		m.latency[priority] = newHistogram(r, familyLatency, label)
 	}
 	for _, class := range connectionClasses {
 		for _, direction := range []string{"in", "out"} {
@@ -102,6 +106,7 @@
 // CallFinished counts a call that entered at this node.
 func (m *Metrics) CallFinished(e reducer.CallFinished) {
 	m.callCounter(e).Inc(1)
+	m.latency[e.Priority%tables.Priorities].observe(e.Elapsed)
 	m.attempts.Inc(int64(e.Attempts))
 	m.retries.Inc(int64(max(e.Attempts-1, 0)))
 }
