Nodes that left are asked to join while the store is away; silent connections are known after 0.7 s

A reader whose list fails now asks one node that has left or died to join, by the address that it had; the script of a node that leaves, the store going away and the node starting again fails without it. Connections with calls in flight are probed after 200 ms in place of 500, and are given up 500 ms later in place of 1 s.

--- a/reducer/config_test.go
+++ b/reducer/config_test.go
@@ -70,6 +70,8 @@
 		return []string{"entries: " + strings.Join(names, " ")}
 	case "cut", "heal":
 		m.cut[words[1]] = words[0] == "cut"
+	case "leave":
+		m.post(0, words[1], ShutdownRequested{})
 	case "stop":
 		delete(m.nodes, words[1])
 		delete(m.store.watches, words[1])
--- a/reducer/discovery.go
+++ b/reducer/discovery.go
@@ -119,6 +119,7 @@
 	s.storeAnswered(in.Result != StoreUnknown)
 	if in.Result != StoreOK {
 		s.timers.set(timerKey{kind: timerListNodes}, s.now+s.failed(&p.list))
+		s.probeGone()
 		return
 	}
 	p.list.succeeded()
@@ -131,6 +132,20 @@
 	s.timers.set(timerKey{kind: timerListNodes}, s.now+next/2+s.jitter(next/2))
 }
 
+// probeGone asks one of the nodes that have left or died to join. While the store is away, a node that starts again at
+// its address cannot find the others, but they know where it was.
+func (s *State) probeGone() {
+	var gone []string
+	for _, m := range s.members.sorted() {
+		if m.Node != s.cfg.Self && m.gone() && m.Address != "" {
+			gone = append(gone, m.Address)
+		}
+	}
+	if len(gone) > 0 {
+		s.askToJoin(gone[s.random(len(gone))])
+	}
+}
+
 // joinListed asks some of the nodes that are not known here to join, from a random place in the list on.
 func (s *State) joinListed(nodes []NodeEntry) {
 	if len(nodes) == 0 {
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -16,8 +16,8 @@
 	settleBackoff = 100 * time.Millisecond
 	// probeAfter is how long an attempt goes without an answer before its connection is probed, and
 	// probeTimeout how long the probe may take. A connection that went silent is known after both.
-	probeAfter   = 500 * time.Millisecond
-	probeTimeout = time.Second
+	probeAfter   = 200 * time.Millisecond
+	probeTimeout = 500 * time.Millisecond
 )
 
 // ingressPhase says what an arrived call waits for.
