A life that was born after another one of its name left is not taken for it

The store kept a leave by the name of the life only. A backend server may start again under the name that it had; a node that restarted after that took the new life for the one that had left, for as long as the store kept the leave. The value of the key is now the time of the leave. Found by reading the code; the case was added to TestRestartedNodeAsksForLeave.

--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -25,7 +25,7 @@
 	revision  uint64
 	watches   []func()
 	leases    map[uint64]*lease
-	left      map[string]bool     // lives of backend servers that have left
+	left      map[string]int64    // when lives of backend servers said that they leave, in Unix ms
 	granted   uint64              // number of the newest lease
 	listed    []reducer.NodeEntry // what a stale list shows
 }
@@ -44,7 +44,7 @@
 const watchLook = 250 * time.Millisecond
 
 func newStore(w *World) *Store {
-	return &Store{world: w, leases: map[uint64]*lease{}, left: map[string]bool{}}
+	return &Store{world: w, leases: map[uint64]*lease{}, left: map[string]int64{}}
 }
 
 // Heal ends every fault of the store.
@@ -116,16 +116,16 @@
 		s.call(n, reducer.NodesListed{Result: reducer.StoreUnknown}, s.list)
 	case reducer.KeepLeave:
 		s.call(n, reducer.LeaveKept{Exchange: e.Exchange, Result: reducer.StoreUnknown}, func() reducer.Input {
-			s.left[e.Instance] = true
+			s.left[e.Instance] = e.At
 			return reducer.LeaveKept{Exchange: e.Exchange, Result: reducer.StoreOK}
 		})
 	case reducer.ReadLeave:
 		s.call(n, reducer.LeaveRead{Instance: e.Instance, Result: reducer.StoreUnknown}, func() reducer.Input {
-			result := reducer.StoreAbsent
-			if s.left[e.Instance] {
-				result = reducer.StoreOK
+			at, ok := s.left[e.Instance]
+			if !ok {
+				return reducer.LeaveRead{Instance: e.Instance, Result: reducer.StoreAbsent}
 			}
-			return reducer.LeaveRead{Instance: e.Instance, Result: result}
+			return reducer.LeaveRead{Instance: e.Instance, At: at, Result: reducer.StoreOK}
 		})
 	case reducer.EndLease:
 		delete(s.leases, e.Lease)
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -174,6 +174,7 @@
 type KeepLeave struct {
 	Exchange Handle
 	Instance string
+	At       int64 // when it said so, in Unix milliseconds
 	TTL      time.Duration
 }
 
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -195,9 +195,10 @@
 	Result   StoreResult
 }
 
-// LeaveRead reports the result of a ReadLeave effect: StoreOK when the life has left, StoreAbsent when it has not.
+// LeaveRead reports the result of a ReadLeave effect: StoreOK when a life of that name has left, StoreAbsent when none has.
 type LeaveRead struct {
 	Instance string
+	At       int64 // when it said so, in Unix milliseconds
 	Result   StoreResult
 }
 
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -105,7 +105,10 @@
 	unsure := *r.unsure
 	switch in.Result {
 	case StoreOK:
-		s.leaves(unsure.Instance)
+		s.leaves(unsure.Instance, in.At)
+		if !r.hasLeft(unsure) { // it was born after the one that left
+			s.register(unsure)
+		}
 	case StoreAbsent:
 		s.register(unsure)
 	}
@@ -158,7 +161,7 @@
 		s.acknowledge(in.Exchange)
 		return
 	}
-	s.leaves(in.Instance)
+	s.leaves(in.Instance, s.wallClock())
 	s.keepLeave(in.Exchange, in.Instance)
 }
 
@@ -166,14 +169,14 @@
 // which a registration may be late.
 const maxGone = 32
 
-// leaves gives a life of the backend server no new calls any more.
-func (s *State) leaves(instance string) {
+// leaves gives a life of the backend server that said at a time that it leaves no new calls any more.
+func (s *State) leaves(instance string, at int64) {
 	b, r := &s.backend, &s.registration
 	before := *b
 	if r.gone == nil || len(r.gone) >= maxGone {
 		r.gone = map[string]int64{}
 	}
-	r.gone[instance] = s.wallClock()
+	r.gone[instance] = at
 	if r.unsure != nil && r.unsure.Instance == instance {
 		r.unsure = nil
 	}
@@ -196,7 +199,7 @@
 	}
 	r.acks[exchange] = instance
 	s.timers.set(timerKey{kind: timerLeaveKept, call: exchange}, s.now+leaveKeepWait)
-	s.emit(KeepLeave{Exchange: exchange, Instance: instance, TTL: leaveKeepTime})
+	s.emit(KeepLeave{Exchange: exchange, Instance: instance, At: s.wallClock(), TTL: leaveKeepTime})
 }
 
 func (s *State) leaveKept(in LeaveKept) {
--- a/reducer/registration_test.go
+++ b/reducer/registration_test.go
@@ -143,7 +143,7 @@
 		if ask, ok := has[ReadLeave](d); !ok || ask.Instance != "a" {
 			t.Fatal("the store is not asked")
 		}
-		d.reduce(LeaveRead{Instance: "a", Result: c.result})
+		d.reduce(LeaveRead{Instance: "a", At: processStart - 1000, Result: c.result})
 		if c.result == StoreOK {
 			d.registers("a", born, 11, false)
 		}
@@ -151,6 +151,10 @@
 			t.Errorf("%s: the backend server is %v, expected %v", c.name, got, c.want)
 		}
 	}
+	again := newTestRegistrar(t)
+	again.registers("a", born, 1, false)
+	again.reduce(LeaveRead{Instance: "a", At: born - 1, Result: StoreOK})
+	again.expect("a life that was born after the one of the same name left", UpstreamReady)
 	d := newTestRegistrar(t)
 	d.registers("a", born, 10, false)
 	d.reduce(LeaveRead{Instance: "a", Result: StoreUnknown})
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"sync"
 	"time"
 
@@ -140,16 +141,13 @@
 	return reducer.NodeAnnounced{Result: writeResult(outcome), Lease: e.Lease}
 }
 
-// leaveValue is the value of the key of a leave; the key says all.
-var leaveValue = []byte("left")
-
 // keepLeave writes a key for a life that leaves, under a lease of its own: the lease of a node ends with it.
 func (r *Runner) keepLeave(ctx context.Context, e reducer.KeepLeave) reducer.StoreResult {
 	lease, err := r.store.GrantLease(ctx, e.TTL)
 	if err != nil {
 		return reducer.StoreUnknown
 	}
-	outcome, _ := r.store.PutLeased(ctx, platform.KeyLeavePrefix+e.Instance, leaveValue, lease) // the outcome says all that counts
+	outcome, _ := r.store.PutLeased(ctx, platform.KeyLeavePrefix+e.Instance, strconv.AppendInt(nil, e.At, 10), lease) // the outcome says all that counts
 	return writeResult(outcome)
 }
 
@@ -159,7 +157,11 @@
 	if err == nil && entry.Revision == 0 {
 		result = reducer.StoreAbsent
 	}
-	return reducer.LeaveRead{Instance: e.Instance, Result: result}
+	if result != reducer.StoreOK {
+		return reducer.LeaveRead{Instance: e.Instance, Result: result}
+	}
+	at, err := strconv.ParseInt(string(entry.Value), 10, 64)
+	return reducer.LeaveRead{Instance: e.Instance, At: at, Result: errorResult(err)}
 }
 
 // list reads the entries of nodes. One that another writer has spoiled names no node.
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -120,13 +120,15 @@
 // null, which is not text.
 func TestLeavesAreKept(t *testing.T) {
 	r := start(t)
-	kept := r.perform(t, reducer.KeepLeave{Exchange: 7, Instance: "i-1", TTL: time.Minute}).(reducer.LeaveKept)
+	kept := r.perform(t, reducer.KeepLeave{Exchange: 7, Instance: "i-1", At: 1234, TTL: time.Minute}).(reducer.LeaveKept)
 	if kept != (reducer.LeaveKept{Exchange: 7, Result: reducer.StoreOK}) {
 		t.Errorf("kept: %+v", kept)
 	}
-	for instance, want := range map[string]reducer.StoreResult{"i-1": reducer.StoreOK, "i-2": reducer.StoreAbsent} {
-		if read := r.perform(t, reducer.ReadLeave{Instance: instance}).(reducer.LeaveRead); read.Result != want {
-			t.Errorf("%s: result %d, expected %d", instance, read.Result, want)
+	for _, want := range []reducer.LeaveRead{
+		{Instance: "i-1", At: 1234, Result: reducer.StoreOK}, {Instance: "i-2", Result: reducer.StoreAbsent},
+	} {
+		if read := r.perform(t, reducer.ReadLeave{Instance: want.Instance}).(reducer.LeaveRead); read != want {
+			t.Errorf("read %+v, expected %+v", read, want)
 		}
 	}
 }
