A closing listener completes no further connection

Cause of the red TestRollingRestart: the kernel resets the connections that it completes between the last accept and the close of the listener.

A packet filter on the listener now drops the first packet of new connections, before the accept queue is emptied. Go's listeners speak Multipath TCP by default, and its sockets take no filter (operation not supported), so the node's listeners are plain TCP.

--- a/node/listen.go
+++ b/node/listen.go
@@ -5,6 +5,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/rosemaryhatch/rosemaryhatch/runner/ingress"
 	"github.com/rosemaryhatch/rosemaryhatch/settings"
 )
 
@@ -27,7 +28,7 @@
 		{&l.Operator, "operator", s.Operator},
 		{&l.Register, "register", s.Register},
 	} {
-		listener, err := net.Listen("tcp", wanted.address)
+		listener, err := ingress.Listen(wanted.address)
 		if err != nil {
 			l.Close()
 			return nil, oops.In("node").With("section", "listen", "key", wanted.key).Wrapf(err, "[listen] %s", wanted.key)
--- a/runner/ingress/ingress_test.go
+++ b/runner/ingress/ingress_test.go
@@ -97,7 +97,7 @@
 
 func start(t *testing.T) *fixture {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -296,7 +296,7 @@
 
 // Guards against one IP that takes all connections, and against places that are not given back.
 func TestConnectionsPerIPAreBounded(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	inner, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/runner/ingress/limit.go
+++ b/runner/ingress/limit.go
@@ -88,12 +88,15 @@
 	}
 }
 
-// finish closes the listener once the connections that are established already were accepted.
-func (l *limitedListener) finish() {
+// finish closes the listener once the connections that are established already were accepted. After an
+// error, callers that connect without pause can keep it open, and one can be reset.
+func (l *limitedListener) finish() error {
+	err := stopConnecting(l.Listener)
 	l.mu.Lock()
 	l.closing = true
 	l.mu.Unlock()
 	l.setDeadline(longAgo)
+	return err
 }
 
 // conns returns the open connections and whether the listener is still open.
--- a/runner/ingress/server.go
+++ b/runner/ingress/server.go
@@ -122,7 +122,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, listener := range s.listeners {
-		listener.finish()
+		if err := listener.finish(); err != nil && !errors.Is(err, net.ErrClosed) {
+			level.Warn(s.Logger).Log("msg", "callers can still connect to a closing listener", "err", err)
+		}
 	}
 }
 
