Changes of the tables do not cross zones as text

Cause: a change is flooded on all links with its text, 2.9 KB each.

Now the text and a reader's notice stay in the zone; other zones hear the number with the next heartbeat, 0.5 s at most, and ask. Ruled out: a notice across zones, since it overtakes the zone's own flood and makes its receivers ask for what is on its way.

--- a/reducer/config.go
+++ b/reducer/config.go
@@ -226,15 +226,20 @@
 	s.startCalls()
 }
 
-// announce tells the peers about the version that became active. Only its number is sent without a delta, because the
-// node has started or was behind, and by a reader, because other readers have it from the store as well: most peers
-// hold the version, and the others ask for it.
+// announce tells the peers of this zone about the version that became active; other zones have readers of their
+// own, and hear its number with the next heartbeat. Only its number is sent without a delta, because the node has
+// started or was behind, and by a reader, because other readers have it from the store as well: most peers hold the
+// version, and the others ask for it.
 func (s *State) announce(c *candidate) {
+	var message Message = s.heartbeat(true)
 	if base := s.config.lastDelta.Base; base.Number != 0 && !c.stored {
-		s.flood(s.configAnswer(base), c.from.Node)
-		return
+		message = s.configAnswer(base)
+	}
+	for _, node := range s.linked() {
+		if node != c.from.Node && s.members.table[node].Zone == s.cfg.Zone {
+			s.sendOnLink(node, message)
+		}
 	}
-	s.flood(s.heartbeat(true), c.from.Node)
 }
 
 // configAnswer returns the active version for a peer that holds another one: as a delta when it is known
--- a/reducer/config_sim_test.go
+++ b/reducer/config_sim_test.go
@@ -38,11 +38,13 @@
 	queue  simQueue
 	nodes  map[string]*State // by address
 	cut    map[string]bool   // addresses that no peer reaches
+	silent map[string]bool   // zones that get no answer from the store
 	store  simPlatform
 	random *rand.Rand
 	log    []string
 	deltas int            // sent
 	texts  map[string]int // whole texts sent to a node
+	across int            // texts and deltas sent to another zone
 }
 
 type simEvent struct {
@@ -73,7 +75,11 @@
 }
 
 func (m *sim) start(id string, seeds ...string) {
-	m.nodes[id] = New(Config{Self: NodeID(id), Zone: "Hella", Address: id, Incarnation: Incarnation(m.now) + 1, Seeds: seeds, Discover: true, Limits: DefaultLimits()})
+	m.startIn("Hella", id, seeds...)
+}
+
+func (m *sim) startIn(zone, id string, seeds ...string) {
+	m.nodes[id] = New(Config{Self: NodeID(id), Zone: zone, Address: id, Incarnation: Incarnation(m.now) + 1, Seeds: seeds, Discover: true, Limits: DefaultLimits()})
 	m.post(0, id, TimerDue{})
 }
 
@@ -116,6 +122,9 @@
 		} else if ok && !update.None {
 			m.texts[e.To.Address]++
 		}
+		if update, ok := e.Message.(ConfigUpdate); ok && !update.None && m.nodes[e.To.Address].cfg.Zone != state.cfg.Zone {
+			m.across++
+		}
 		if !m.cut[node] && !m.cut[e.To.Address] {
 			from := PeerRef{Node: state.cfg.Self, Address: node, Incarnation: state.cfg.Incarnation}
 			m.post(hop, e.To.Address, PeerMessage{From: from, Message: e.Message})
@@ -218,9 +227,11 @@
 	p.previous, p.doc = p.doc, simDocument(version, routes)
 	p.revision++
 	for _, node := range slices.Sorted(maps.Keys(p.watches)) {
-		m.post(time.Millisecond, node, m.read(true))
+		if !m.silent[m.nodes[node].cfg.Zone] {
+			m.post(time.Millisecond, node, m.read(true))
+			delete(p.watches, node)
+		}
 	}
-	clear(p.watches)
 }
 
 // cutWatches ends the watches that wait without an answer.
--- a/reducer/config_test.go
+++ b/reducer/config_test.go
@@ -245,3 +245,35 @@
 		t.Errorf("only %d silent peers were asked", len(asked))
 	}
 }
+
+// Guards against changes whose text is sent to zones that have it from the store: users pay for the bytes between
+// zones. A zone that gets no answer from the store must still follow within the users' bound.
+func TestZonesGetChangesOnce(t *testing.T) {
+	const zones, nodes, changes, bound = 4, 12, 10, 2 * time.Second
+	for _, silent := range []map[string]bool{nil, {"zone-1": true}} {
+		m := newSim()
+		m.silent = silent
+		m.put(1, "")
+		for i := range zones * nodes {
+			m.startIn(fmt.Sprint("zone-", i%zones), fmt.Sprintf("n%02d", i), "n00", "n01")
+		}
+		m.run(20 * time.Second)
+		m.across = 0
+		for version := uint64(2); version < 2+changes; version++ {
+			m.put(version, "")
+			m.run(bound)
+			for id, node := range m.nodes {
+				if held := node.status().Version.Number; held != version {
+					t.Fatalf("silent %v: %s holds version %d, expected %d", silent, id, held, version)
+				}
+			}
+		}
+		allowed := 0
+		if silent != nil {
+			allowed = nodes * changes // each node may be the one that hears it first
+		}
+		if m.across > allowed {
+			t.Errorf("silent %v: %d texts went to other zones, expected at most %d", silent, m.across, allowed)
+		}
+	}
+}
