Long changes of the tables are asked for, and texts are compressed

The site's tables have 1,120 routes (177 KB as text) and a big_config adds 1,400; each node flooded the text of the change on all its links, some ten, which are 7 to 140 Mbit/s wide.

Ruled out: processor time (0.026 cores on the mean node, 0.048 on the busiest).

Now a delta above 4 KB is announced by its number and each node asks one peer; texts above 1 KB are compressed, once for all peers, off the control thread. Test of the wire: 1,400 routes take less than a quarter; texts that do not unpack or are too large are refused.

--- a/reducer/config.go
+++ b/reducer/config.go
@@ -10,6 +10,10 @@
 // is longer than a heartbeat interval, after which the heartbeats repair a lost answer anyway.
 const fetchInterval = time.Second
 
+// pushLimit is the size in bytes up to which a delta is sent to peers that did not ask for it. A node gets it from
+// about ten peers; for a change of many routes that would be megabytes, seconds on a link of 7 Mbit/s.
+const pushLimit = 4 << 10
+
 // rememberedVersions bounds the versions that are remembered as refused. Each is some 50 bytes; more than
 // a few at a time only occur when a store or a peer makes them up.
 const rememberedVersions = 32
@@ -229,11 +233,11 @@
 // announce tells the peers of this zone about the version that became active; other zones have readers of their
 // own, and hear its number with the next heartbeat. Only its number is sent without a delta, because the node has
 // started or was behind, and by a reader, because other readers have it from the store as well: most peers hold the
-// version, and the others ask for it.
+// version, and the others ask for it. So do those of a long delta, which each of them needs once.
 func (s *State) announce(c *candidate) {
 	var message Message = s.heartbeat(true)
-	if base := s.config.lastDelta.Base; base.Number != 0 && !c.stored {
-		message = s.configAnswer(base)
+	if delta := s.config.lastDelta; delta.Base.Number != 0 && !c.stored && delta.Size() <= pushLimit {
+		message = s.configAnswer(delta.Base)
 	}
 	for _, node := range s.linked() {
 		if node != c.from.Node && s.members.table[node].Zone == s.cfg.Zone {
--- a/reducer/config_test.go
+++ b/reducer/config_test.go
@@ -277,3 +277,32 @@
 		}
 	}
 }
+
+// Guards against a change of many routes whose text each node gets from all its peers: on links of a few Mbit/s
+// requests waited for seconds behind it.
+func TestLongChangesAreSentOnce(t *testing.T) {
+	const nodes, routes, bound = 40, 300, 2 * time.Second
+	m := newSim()
+	m.put(1, "")
+	for i := range nodes {
+		m.start(fmt.Sprintf("n%02d", i), "n00", "n01")
+	}
+	m.run(20 * time.Second)
+	m.deltas, m.texts = 0, map[string]int{}
+	var text strings.Builder
+	for i := range routes {
+		fmt.Fprintf(&text, "[route r%d]\npath = /r%d\npool = p0\n", i, i)
+	}
+	m.put(2, text.String())
+	m.run(bound)
+	sent := m.deltas
+	for id, node := range m.nodes {
+		sent += m.texts[id]
+		if held := node.status().Version.Number; held != 2 {
+			t.Errorf("%s holds version %d, expected 2", id, held)
+		}
+	}
+	if sent > nodes {
+		t.Errorf("%d texts were sent to %d nodes, expected one to each", sent, nodes)
+	}
+}
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -29,6 +29,7 @@
 	cancel   context.CancelFunc
 	// senderIdle is how long a sender without messages is kept.
 	senderIdle time.Duration
+	packer     packer
 
 	mu      sync.Mutex
 	conns   map[connKey]*clientConn
--- a/runner/peer/fuzz_test.go
+++ b/runner/peer/fuzz_test.go
@@ -98,7 +98,7 @@
 		if c.ReadRequestBody(&control) != nil {
 			return false
 		}
-		control.message()
+		_, _ = control.message() // what cannot be read is an error, not a panic
 	case 1:
 		if c.ReadRequestBody(&forward) != nil {
 			return false
--- a/runner/peer/sender.go
+++ b/runner/peer/sender.go
@@ -97,6 +97,9 @@
 func (c *Client) deliverOne(out outgoing) {
 	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
 	defer cancel()
+	if control, ok := out.args.(*ControlArgs); ok && control.ConfigUpdate != nil {
+		out.args = &ControlArgs{ConfigUpdate: c.packer.pack(control.ConfigUpdate)}
+	}
 	err := c.invoke(ctx, connKey{out.to.Address, ClassControl}, out.method, out.args, &Empty{})
 	if err != nil && c.ctx.Err() == nil {
 		c.post(reducer.PeerSendFailed{To: out.to, Refused: errors.Is(err, syscall.ECONNREFUSED)})
--- a/runner/peer/server.go
+++ b/runner/peer/server.go
@@ -302,12 +302,14 @@
 	return nil
 }
 
-// Notify takes a control message.
+// Notify takes a control message. One that cannot be read is an error for the peer, which notes it as a message
+// that was not delivered.
 func (s *service) Notify(args *ControlArgs, _ *Empty) error {
-	if message := args.message(); message != nil {
+	message, err := args.message()
+	if message != nil && err == nil {
 		s.handler.Post(reducer.PeerMessage{From: s.peer, Message: message})
 	}
-	return nil
+	return err
 }
 
 // Ping answers that the connection is alive.
--- a/runner/peer/wire_config.go
+++ b/runner/peer/wire_config.go
@@ -20,6 +20,8 @@
 	PoolPieces  []Piece
 
 	None bool
+	// Packed holds the texts, which are empty then, as compressed gob of configTexts.
+	Packed []byte
 }
 
 // Piece is tables.Piece on the wire.
@@ -48,7 +50,20 @@
 	}
 }
 
-func (c *ConfigUpdate) value() reducer.ConfigUpdate {
+// value returns the message. Packed texts that cannot be read are an error.
+func (c *ConfigUpdate) value() (reducer.ConfigUpdate, error) {
+	if c.Packed == nil {
+		return c.message(), nil
+	}
+	texts, err := unpackTexts(c.Packed)
+	if err != nil {
+		return reducer.ConfigUpdate{}, err
+	}
+	c.Routes, c.Pools, c.RoutePieces, c.PoolPieces = texts.Routes, texts.Pools, texts.RoutePieces, texts.PoolPieces
+	return c.message(), nil
+}
+
+func (c *ConfigUpdate) message() reducer.ConfigUpdate {
 	if c.None {
 		return reducer.ConfigUpdate{None: true}
 	}
--- a/runner/peer/wire_config_test.go
+++ b/runner/peer/wire_config_test.go
@@ -12,6 +12,38 @@
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
+// Guards against whole texts on links of a few Mbit/s, which a change of many routes kept busy for seconds, and
+// against packed texts that differ from the sent ones.
+func TestTextsArePacked(t *testing.T) {
+	var routes strings.Builder
+	for i := range 1400 {
+		fmt.Fprintf(&routes, "[route r-%06x]\npath = /%05x/\npool = service-%d\npriority = 3\ntimeout = 800ms\n", i*7919, i*104729, i%2)
+	}
+	document := tables.Document{Version: 2, Routes: routes.String(), Pools: "[pool p]\n", Hash: tables.ContentHash(routes.String(), "[pool p]\n")}
+	delta := tables.Diff(tables.Document{Version: 1}, document)
+	var p packer
+	for _, update := range []reducer.ConfigUpdate{{Document: document}, {Delta: &delta}, {Document: document}} {
+		wire := p.pack(wireConfigUpdate(update))
+		if len(wire.Packed) == 0 || len(wire.Packed) > len(document.Routes)/4 {
+			t.Errorf("%d bytes of text are packed into %d", len(document.Routes), len(wire.Packed))
+		}
+		if got, err := wire.value(); err != nil || !reflect.DeepEqual(got, update) {
+			t.Errorf("the texts differ after they were unpacked, %v", err)
+		}
+	}
+}
+
+// Guards against a peer that makes a node unpack without bound, and against damaged texts that are taken for empty ones.
+func TestBadPackedTextsAreRefused(t *testing.T) {
+	bomb := packTexts(&configTexts{Routes: strings.Repeat("a", maxTexts+1)})
+	for _, packed := range [][]byte{bomb, {1, 2, 3}, {}} {
+		update := ConfigUpdate{Version: 1, Packed: packed}
+		if _, err := update.value(); err == nil {
+			t.Errorf("%d packed bytes are accepted", len(packed))
+		}
+	}
+}
+
 // Guards against a field of a version, delta or answer that is lost on the wire, and against deltas that
 // cost more than the 1 KB for a change of section 4.1 (34 pools, 400 routes, one route changed).
 func TestConfigUpdateOnTheWire(t *testing.T) {
@@ -46,7 +78,7 @@
 			if err := decoder.Decode(&args); err != nil {
 				t.Fatal(err)
 			}
-			if got := args.message(); !reflect.DeepEqual(got, update) {
+			if got, err := args.message(); err != nil || !reflect.DeepEqual(got, update) {
 				t.Errorf("after the wire %+v, before %+v", got, update)
 			}
 		}
--- a/runner/peer/wire_control.go
+++ b/runner/peer/wire_control.go
@@ -78,21 +78,21 @@
 }
 
 // message returns the message carried, or nil when it is of a type that this node does not know.
-func (a *ControlArgs) message() reducer.Message {
+func (a *ControlArgs) message() (reducer.Message, error) {
 	switch {
 	case a.Heartbeat != nil:
-		return a.Heartbeat.value()
+		return a.Heartbeat.value(), nil
 	case a.MemberUpdate != nil:
 		update := reducer.MemberUpdate{Repair: a.MemberUpdate.Repair}
 		update.Members = a.MemberUpdate.Members.members()
-		return update
+		return update, nil
 	case a.MemberDigest != nil:
-		return reducer.MemberDigest{Buckets: a.MemberDigest.Buckets, Reply: a.MemberDigest.Reply}
+		return reducer.MemberDigest{Buckets: a.MemberDigest.Buckets, Reply: a.MemberDigest.Reply}, nil
 	case a.ConfigUpdate != nil:
 		return a.ConfigUpdate.value()
 	case a.ConfigFetch != nil:
-		return reducer.ConfigFetch{Have: a.ConfigFetch.Have.value()}
+		return reducer.ConfigFetch{Have: a.ConfigFetch.Have.value()}, nil
 	default:
-		return nil
+		return nil, nil
 	}
 }
--- a/runner/peer/wire_members_test.go
+++ b/runner/peer/wire_members_test.go
@@ -51,7 +51,7 @@
 		if err := gob.NewDecoder(&wire).Decode(&args); err != nil {
 			t.Fatal(err)
 		}
-		if got := args.message(); !reflect.DeepEqual(got, want) {
+		if got, err := args.message(); err != nil || !reflect.DeepEqual(got, want) {
 			t.Errorf("message is %+v, expected %+v", got, want)
 		}
 	}
