Nodes that start together make few calls to the store

Now a node draws the time of its first announcement from 500 ms and reads the entries (a tenth of the price) before it; most find another node and join. A lone node watches 1.5 s after its start at the earliest; a change before that is in the watch's answer.

The script's entries come in another order, since the order of the announcements is drawn.

--- a/reducer/config_reader.go
+++ b/reducer/config_reader.go
@@ -92,6 +92,9 @@
 	if reader.watch.busy || !s.isReader() {
 		return
 	}
+	if s.members.live == 0 && s.now < joinGrace { // it is likely to find others, and not to be a reader then
+		reader.watchAt = max(reader.watchAt, joinGrace)
+	}
 	if reader.watchAt > s.now {
 		s.timers.set(timerKey{kind: timerStoreWatch}, reader.watchAt)
 		return
--- a/reducer/config_sim_test.go
+++ b/reducer/config_sim_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"math/rand"
+	"reflect"
 	"slices"
 	"time"
 
@@ -24,6 +25,7 @@
 	watches       map[string]int // by node, the number of the watch that waits
 	watched       int
 	calls         []time.Duration
+	kinds         []string // of the calls
 }
 
 type simLease struct {
@@ -133,6 +135,7 @@
 		m.log = append(m.log, e.Message)
 	case ReadStore, WatchStore, GrantLease, RenewLease, AnnounceNode, ListNodes:
 		m.store.calls = append(m.store.calls, m.now)
+		m.store.kinds = append(m.store.kinds, reflect.TypeOf(effect).Name())
 		m.call(node, effect)
 	}
 }
--- a/reducer/config_test.go
+++ b/reducer/config_test.go
@@ -306,3 +306,31 @@
 		t.Errorf("%d texts were sent to %d nodes, expected one to each", sent, nodes)
 	}
 }
+
+// Guards against calls to the store that grow with the nodes that start: users pay for each, and all nodes of a fleet
+// made four within their first second.
+func TestStartsNeedFewCallsToTheStore(t *testing.T) {
+	const zones, nodes = 5, 100
+	m := newSim()
+	m.put(1, "")
+	for i := range nodes {
+		m.startIn(fmt.Sprint("zone-", i%zones), fmt.Sprintf("n%03d", i))
+	}
+	m.run(5 * time.Second)
+	for id, node := range m.nodes {
+		if !node.ready() || node.members.live != nodes-1 {
+			t.Fatalf("%s knows %d others 5 s after the start, ready %v", id, node.members.live, node.ready())
+		}
+	}
+	calls := map[string]int{}
+	for _, call := range m.store.kinds {
+		calls[call]++
+	}
+	t.Log(calls)
+	allowed := zones*readersPerZone + nodes/10
+	for _, call := range []string{"GrantLease", "AnnounceNode", "WatchStore"} {
+		if calls[call] > allowed {
+			t.Errorf("%d calls %s for %d nodes, expected at most %d", calls[call], call, nodes, allowed)
+		}
+	}
+}
--- a/reducer/discovery.go
+++ b/reducer/discovery.go
@@ -12,6 +12,9 @@
 	leaseRenewInterval = 4 * time.Second
 	// announceInterval is how often a node without an entry looks whether it needs one.
 	announceInterval = time.Second
+	// announceSpread is the time over which nodes that start together announce themselves, unless one of them has done
+	// so before: most then join it and never need an entry.
+	announceSpread = 500 * time.Millisecond
 	// listAloneInterval is how often a node that knows no other one reads the entries, and listInterval how
 	// often a reader of a zone does, which joins groups of nodes that do not know of each other.
 	listAloneInterval = 500 * time.Millisecond
@@ -27,6 +30,8 @@
 	call      platformCall
 	list      platformCall
 	listed    bool // the entries were read at least once
+	started   bool // the time of the first announcement is set
+	looked    bool // the entries were read for the first announcement of this node, which waits for them
 	lost      bool // the last call got no answer
 }
 
@@ -58,6 +63,16 @@
 		s.timers.set(timerKey{kind: timerAnnounce}, s.now+announceInterval)
 		return
 	}
+	if !p.started {
+		p.started = true
+		s.timers.set(timerKey{kind: timerAnnounce}, s.now+s.jitter(announceSpread))
+		return
+	}
+	if p.lease == 0 && s.members.live == 0 && !p.looked { // others may have announced themselves meanwhile
+		p.looked = true
+		s.listNodesDue()
+		return
+	}
 	p.call.busy = true
 	switch {
 	case p.lease == 0:
@@ -117,6 +132,9 @@
 	p := &s.platform
 	p.list.busy = false
 	s.storeAnswered(in.Result != StoreUnknown)
+	if p.looked && p.lease == 0 && !p.call.busy {
+		s.announceAfterList(in.Nodes)
+	}
 	if in.Result != StoreOK {
 		s.timers.set(timerKey{kind: timerListNodes}, s.now+s.failed(&p.list))
 		s.probeGone()
@@ -132,6 +150,16 @@
 	s.timers.set(timerKey{kind: timerListNodes}, s.now+next/2+s.jitter(next/2))
 }
 
+// announceAfterList announces this node at once when it found no other one, and gives it the time to join
+// otherwise.
+func (s *State) announceAfterList(found []NodeEntry) {
+	wait := time.Duration(0)
+	if len(found) > 0 {
+		wait = announceInterval
+	}
+	s.timers.set(timerKey{kind: timerAnnounce}, s.now+wait)
+}
+
 // probeGone asks one of the nodes that have left or died to join. While the store is away, a node that starts again at
 // its address cannot find the others, but they know where it was.
 func (s *State) probeGone() {
