News of a member cross zones from the member's zone only

Cause: each zone passed news of a member on to each other zone it has links to, also those that are linked to the member's own zone. Now a zone of 12 nodes or more tells the others itself, and the others pass the news on in their own zone only. Where the links to the member's zone are cut, the digests of heartbeats bring the news within 3 s.

--- a/reducer/members_overlay.go
+++ b/reducer/members_overlay.go
@@ -86,6 +86,17 @@
 	}
 }
 
+// zoneSizes counts the nodes of each zone that take part in the overlay.
+func (m *memberState) zoneSizes() map[string]int {
+	sizes := map[string]int{}
+	for _, member := range m.sorted() {
+		if member.linkable() {
+			sizes[member.Zone]++
+		}
+	}
+	return sizes
+}
+
 // spreadInterval is the shortest time between two updates that this node passes on. When many nodes
 // return at once, the entries that arrive in between travel together.
 const spreadInterval = 20 * time.Millisecond
@@ -126,13 +137,26 @@
 	}
 }
 
+// relayZoneNodes is the number of nodes from which on a zone tells all other zones of its members itself. Smaller
+// ones may have no links to some zones.
+const relayZoneNodes = 12
+
+// relays reports whether a zone's nodes pass news of a member on to a zone. They leave out the zones that have it from
+// links to the member's own zone; where those are cut, the digests of heartbeats show what is missing.
+func (s *State) relays(member Member, to string, sizes map[string]int) bool {
+	return to == s.cfg.Zone || member.Zone == s.cfg.Zone || sizes[member.Zone] < relayZoneNodes
+}
+
 func (s *State) spreadDue() {
 	sp := &s.members.spread
 	waiting := sortedKeys(sp.pending)
+	sizes := s.members.zoneSizes()
 	for _, node := range s.linked() {
+		zone := s.members.table[node].Zone
 		var members []Member
 		for _, id := range waiting {
-			if entry := sp.pending[id]; !slices.Contains(entry.heldBy, node) {
+			entry := sp.pending[id]
+			if !slices.Contains(entry.heldBy, node) && s.relays(entry.member, zone, sizes) {
 				members = append(members, entry.member)
 			}
 		}
--- a/reducer/members_storm_test.go
+++ b/reducer/members_storm_test.go
@@ -97,3 +97,55 @@
 	p.holds(node, MemberAlive)
 	p.agree()
 }
+
+// Guards against news of a member that each zone passes on to each other one: users pay for the bytes between zones.
+// A zone that has lost the member's zone still hears of it from the others.
+func TestNewsCrossesZonesFromTheMembersZone(t *testing.T) {
+	const zones, n, spreadLimit = 5, 20, 300 * time.Millisecond
+	p := newPump(t)
+	p.cluster(zones, n)
+	across := 0
+	lost := ""
+	p.loses = func(from *State, to NodeID, message Message) bool {
+		update, ok := message.(MemberUpdate)
+		zone := string(to[:2])
+		if ok && !update.Repair && from.cfg.Zone != zone {
+			across += len(update.Members)
+		}
+		return from.cfg.Zone == "z0" && zone == lost || from.cfg.Zone == lost && zone == "z0"
+	}
+	const node = NodeID("z0-007")
+	register := func(slots int) {
+		p.post(node, 0, BackendRegistered{Service: "stitchroom", Address: "10.0.0.1:80", Slots: slots})
+	}
+	register(1)
+	p.run(spreadLimit)
+	across = 0
+	register(2)
+	p.run(spreadLimit)
+	heard := func(id NodeID) bool { return p.nodes[id].members.table[node].Upstream.Slots == 2 }
+	for _, id := range sortedKeys(p.nodes) {
+		if !heard(id) {
+			t.Errorf("%s has not heard of the change after %v", id, spreadLimit)
+		}
+	}
+	links := 0 // between the member's zone and others
+	for i := range n {
+		for _, peer := range p.nodes[nodeName(0, i)].linked() {
+			if peer[:2] != "z0" {
+				links++
+			}
+		}
+	}
+	if across > links {
+		t.Errorf("one change crossed zones %d times, expected at most %d", across, links)
+	}
+	lost = "z1"
+	register(3)
+	p.run(detectionLimit)
+	for i := range n {
+		if id := nodeName(1, i); p.nodes[id].members.table[node].Upstream.Slots != 3 {
+			t.Errorf("%s has not heard of the change through other zones after %v", id, detectionLimit)
+		}
+	}
+}
