--- a/internal/faultmatrix/found_test.go
+++ b/internal/faultmatrix/found_test.go
@@ -85,3 +85,15 @@
 	}
 	return faults[i]
 }
+
+// Guards against a restarted node that goes back: the store does not answer, the peer that holds the newest version
+// is silent, and the one that answers has missed it in a pause. Listed in KNOWN-RED.txt.
+func TestRestartBesideAPeerThatIsBehind(t *testing.T) {
+	sequence := Sequence{Seed: 1427466, Scenario: scenarioNamed(t, "lease lapses while its holder is paused")}
+	for _, f := range []at{{"connections silent", 32}, {"node killed and restarted", 25}, {"store loses answers", 28}, {"target paused", 24}} {
+		sequence.Injections = append(sequence.Injections, Injection{faultNamed(t, f.fault), f.step})
+	}
+	for _, violation := range sequence.Check(nil) {
+		t.Errorf("%v: %v", sequence, violation)
+	}
+}
