A node's first announcement waits for the list of entries once

A node that lists entries every 500 ms which it cannot join (a zone that is cut off, nodes that died) never announced itself, and two such nodes never met. The simulated store lists entries by node, since the order of announcements is drawn.

--- a/reducer/config_sim_test.go
+++ b/reducer/config_sim_test.go
@@ -7,6 +7,7 @@
 	"math/rand"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
@@ -214,7 +215,7 @@
 	}
 }
 
-// entries returns the entries of nodes whose leases have not lapsed.
+// entries returns the entries of nodes whose leases have not lapsed, by node: when nodes announce themselves is drawn.
 func (m *sim) entries() []NodeEntry {
 	var entries []NodeEntry
 	for id := uint64(1); id <= m.store.granted; id++ {
@@ -222,6 +223,7 @@
 			entries = append(entries, l.entry)
 		}
 	}
+	slices.SortFunc(entries, func(a, b NodeEntry) int { return strings.Compare(string(a.Node), string(b.Node)) })
 	return entries
 }
 
--- a/reducer/config_test.go
+++ b/reducer/config_test.go
@@ -334,3 +334,20 @@
 		}
 	}
 }
+
+// Guards against nodes that never announce themselves, because the store names others that they cannot reach, and so
+// do not find each other.
+func TestNodesBesideUnreachableEntriesMeet(t *testing.T) {
+	m := newSim()
+	m.put(1, "")
+	m.store.granted = 1
+	m.store.leases[1] = &simLease{expires: time.Hour, entry: NodeEntry{Node: "gone", Zone: "Hella", Address: "gone"}}
+	m.start("n1")
+	m.start("n2")
+	m.run(10 * time.Second)
+	for id, node := range m.nodes {
+		if node.members.live != 1 {
+			t.Errorf("%s knows %d others, expected 1", id, node.members.live)
+		}
+	}
+}
--- a/reducer/discovery.go
+++ b/reducer/discovery.go
@@ -31,7 +31,8 @@
 	list      platformCall
 	listed    bool // the entries were read at least once
 	started   bool // the time of the first announcement is set
-	looked    bool // the entries were read for the first announcement of this node, which waits for them
+	looked    bool // the entries were asked for before the first announcement of this node
+	awaited   bool // that announcement waits for them
 	lost      bool // the last call got no answer
 }
 
@@ -69,7 +70,7 @@
 		return
 	}
 	if p.lease == 0 && s.members.live == 0 && !p.looked { // others may have announced themselves meanwhile
-		p.looked = true
+		p.looked, p.awaited = true, true
 		s.listNodesDue()
 		return
 	}
@@ -132,7 +133,8 @@
 	p := &s.platform
 	p.list.busy = false
 	s.storeAnswered(in.Result != StoreUnknown)
-	if p.looked && p.lease == 0 && !p.call.busy {
+	if p.awaited {
+		p.awaited = false
 		s.announceAfterList(in.Nodes)
 	}
 	if in.Result != StoreOK {
