--- a/runner/traffic/workers.go
+++ b/runner/traffic/workers.go
@@ -36,8 +36,7 @@
 func (w *Workers) run(f func()) {
 	for {
 		f()
-		if w.idle.Add(1) > maxIdleWorkers {
-			w.idle.Add(-1)
+		if !w.becomeIdle() {
 			return
 		}
 		select {
@@ -50,5 +49,19 @@
 	}
 }
 
+// becomeIdle counts one more idle goroutine, or reports that there are enough. The count never passes its bound, not
+// even for a moment: goroutines that ended at once would otherwise each see the others and all give up.
+func (w *Workers) becomeIdle() bool {
+	for {
+		idle := w.idle.Load()
+		if idle >= maxIdleWorkers {
+			return false
+		}
+		if w.idle.CompareAndSwap(idle, idle+1) {
+			return true
+		}
+	}
+}
+
 // Close ends the goroutines that are idle, and the others with their functions. It must be called once.
 func (w *Workers) Close() { close(w.done) }
