--- a/reducer/members.go
+++ b/reducer/members.go
@@ -192,7 +192,7 @@
 	self.Handed = s.shutdown.handed
 	self.Upstream = Upstream{Service: s.backend.service, Slots: s.backend.declared, State: s.backend.state}
 	s.putMember(self)
-	s.flood(MemberUpdate{Members: []Member{self}}, "")
+	s.flood(MemberUpdate{Members: []Member{self}})
 }
 
 // memberUpdate takes over entries that are news, refutes wrong ones about this node, and passes news
--- a/reducer/members_detector.go
+++ b/reducer/members_detector.go
@@ -217,7 +217,7 @@
 	if s.learn(member) {
 		s.members.detector.suspects[node] = true
 		s.timers.set(timerKey{kind: timerSuspicion, node: node}, s.now+refutationTime)
-		s.flood(MemberUpdate{Members: []Member{member}}, "")
+		s.flood(MemberUpdate{Members: []Member{member}})
 	}
 }
 
@@ -254,7 +254,7 @@
 	observed := s.members.detector.suspects[node]
 	member.State = MemberDead
 	if s.learn(member) && observed {
-		s.flood(MemberUpdate{Members: []Member{member}}, "")
+		s.flood(MemberUpdate{Members: []Member{member}})
 	}
 }
 
--- a/reducer/members_overlay.go
+++ b/reducer/members_overlay.go
@@ -77,12 +77,10 @@
 	}
 }
 
-// flood sends a message on all links except the one that it came from.
-func (s *State) flood(message Message, except NodeID) {
+// flood sends a message on all links.
+func (s *State) flood(message Message) {
 	for _, node := range s.linked() {
-		if node != except {
-			s.sendOnLink(node, message)
-		}
+		s.sendOnLink(node, message)
 	}
 }
 
