A call passes the fence of its key that it set itself

When that one stopped, the key moved back and the former owner refused the call by its own fence until the retention ended; its caller got unknown. Traced by the call's id in a failed run with whole logs.

A fence lets a later attempt of the call that asked last pass; an attempt that was settled as not run stays refused. A call whose key gets another owner asks again: with the fence open, a node that it skips could have run the key. Both have tests that failed first. A failed test prints 256 KB of each log.

--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -51,6 +51,10 @@
 	return m.Run()
 }
 
+// logTail is how many bytes of each node's log a failed test prints. A call in the middle of a run could not be traced from
+// 1,500.
+const logTail = 256 << 10
+
 // start starts a cluster after a change of its places. It ends with the test.
 func start(t *testing.T, change func(*Cluster)) *Cluster {
 	t.Helper()
@@ -64,7 +68,7 @@
 		}
 		for _, p := range c.Places {
 			text, _ := os.ReadFile(filepath.Join(c.Directory, p.ID+".log"))
-			t.Logf("log of %s, last part:\n%s", p.ID, text[max(0, len(text)-1500):])
+			t.Logf("log of %s, last part:\n%s", p.ID, text[max(0, len(text)-logTail):])
 		}
 	})
 	if change != nil {
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -63,7 +63,8 @@
 	due             time.Duration // when the response loses worth; 0 when that is not known
 	lastReason      Reason
 	firstAttempt    bool
-	asked           []NodeID // nodes that said that they have no record of the call's key
+	keyOwner        NodeID   // owner of the call's key when it was last looked up
+	asked           []NodeID // nodes that said since then that they have no record of the key
 	// ownerKnows is set once the owner of the call's key said that the call did not run.
 	ownerKnows bool
 	// mayHaveRun is set once an attempt of an idempotent call was lost: a later refusal of another
--- a/reducer/keyed.go
+++ b/reducer/keyed.go
@@ -16,6 +16,9 @@
 	case s.recordsLost(call, pool.Service, ranking[0]):
 		s.refuse(call, OutcomeUnknown, ReasonKeyOwnerLost)
 	default:
+		if owner := ranking[0].Node; call.keyOwner != owner {
+			call.keyOwner, call.asked = owner, nil
+		}
 		s.askHolders(call, s.keyHolders(call, pool.Service, ranking), ranking[0])
 	}
 }
@@ -53,10 +56,12 @@
 	switch {
 	case r == nil:
 		s.fence(SettleArrived{
-			ID: call.id, Route: call.route.Name, Key: call.key, KeyRetention: call.route.KeyRetention, TakeKey: true,
+			ID: call.id, Attempt: call.attempt, Route: call.route.Name, Key: call.key, KeyRetention: call.route.KeyRetention,
+			TakeKey: true,
 		})
 		return false
 	case r.reason == ReasonKeyMoved:
+		r.askedAgain(SettleArrived{ID: call.id, Attempt: call.attempt, TakeKey: true})
 		return false
 	}
 	s.setPhase(call, phaseLocal)
--- a/reducer/keyowner_test.go
+++ b/reducer/keyowner_test.go
@@ -7,6 +7,60 @@
 	"time"
 )
 
+// Guards against a call that skips a node when the owner of its key changes for the second time: since the call asked that
+// node, another one may have taken the key there and run it.
+func TestChangedOwnerMakesACallAskAgain(t *testing.T) {
+	const joined = 1000 * time.Second
+	s := New(Config{
+		Self: "self", Zone: "z", Incarnation: 1, Limits: DefaultLimits(), Tunables: Tunables{RetrySlack: 100},
+		Tables: testSnapshot(t, "[route r]\npath = /r\npool = p\nretries = 5\ntimeout = 30s\n", "[pool p]\nservice = s\nramp = 0s\n"),
+	})
+	third := Member{Node: "third", Zone: "z", Incarnation: Incarnation(joined), Sequence: 1, State: MemberAlive, Upstream: Upstream{Service: "s", Slots: 1, State: UpstreamReady}}
+	owner := third
+	owner.Node, owner.Incarnation = "owner", 1
+	s.learn(owner)
+	Reduce(s, Event{Now: joined, Input: TimerDue{}})
+	s.learn(third)
+	key := 0
+	for keyWeight("third", "r", fmt.Sprint(key)) < keyWeight("owner", "r", fmt.Sprint(key)) {
+		key++
+	}
+	got := ""
+	attempt := 0
+	reduce := func(after time.Duration, in Input) {
+		for _, effect := range Reduce(s, Event{Now: s.now + after, Input: in}) {
+			switch e := effect.(type) {
+			case Forward:
+				got, attempt = got+fmt.Sprintf("forward to %s;", e.To.Node), e.Attempt
+			case Settle:
+				got, attempt = got+fmt.Sprintf("settle with %s;", e.To.Node), e.Attempt
+			case Respond:
+				got += fmt.Sprintf("respond %v;", e.Outcome)
+			}
+		}
+	}
+	settled := func() {
+		reduce(time.Millisecond, SettleDone{Call: 1, Attempt: attempt, Answered: true, Outcome: OutcomeNotRun})
+	}
+	moveKey := func(state UpstreamState) {
+		third.Sequence++
+		third.Upstream.State = state
+		s.learn(third)
+		reduce(time.Millisecond, ForwardDone{Call: 1, Attempt: attempt, Result: ForwardAnswered, Outcome: OutcomeNotRun, Reason: ReasonDraining})
+		reduce(retryBackoffMax, TimerDue{}) // the pause before the next attempt is over
+	}
+	reduce(time.Millisecond, CallArrived{Call: 1, Method: "POST", Path: "/r", IdempotencyKey: fmt.Sprint(key), RetriesLeft: -1})
+	settled()
+	moveKey(UpstreamDraining)
+	settled()
+	moveKey(UpstreamReady)
+	settled()
+	want := "settle with owner;forward to third;settle with third;forward to owner;settle with owner;forward to third;"
+	if got != want {
+		t.Errorf("the call went %q, expected %q", got, want)
+	}
+}
+
 // Guards against a repeat that runs at the owner of its key although another upstream may have run it: one
 // that owned the key before the owner joined, one that was out of sight, or one in a zone that is cut off.
 func TestRepeatAsksWhoMayHaveRunIt(t *testing.T) {
--- a/reducer/records.go
+++ b/reducer/records.go
@@ -51,6 +51,7 @@
 type record struct {
 	key        recordKey
 	id         CallID // of the copy that made the record
+	attempt    int    // of the call that last asked for the key, in the fence of a key
 	state      recordState
 	call       Handle // the call that ran; 0 when none did
 	kept       int64  // bytes of its response that are kept
@@ -160,6 +161,9 @@
 		retention = max(retention, call.keyRetention)
 		r.answerTill = s.now + retention
 	}
+	if passed := s.target.records.byKey[r.key]; passed != nil {
+		s.target.records.remove(passed)
+	}
 	s.target.records.insert(r, s.now+retention)
 	s.scheduleExpiry()
 	return r
@@ -173,6 +177,9 @@
 		w.kind = waitLocal
 	}
 	fence, r := records.byKey[fenceKey(call.id, call.attempt)], records.byKey[call.recordKey()]
+	if r != nil && r.passes(call) {
+		r = nil
+	}
 	switch {
 	case fence != nil:
 		s.answerWaiter(w, fence)
@@ -188,6 +195,13 @@
 	return true
 }
 
+// passes reports whether the fence of a key lets an attempt run here. The call that last asked for the key has asked all
+// other nodes that may run it before it came back to this one, as with any owner; other calls may not have. An
+// earlier attempt may be a copy that was settled as not run.
+func (r *record) passes(call *targetCall) bool {
+	return r.reason == ReasonKeyMoved && r.id == call.id && call.attempt > r.attempt
+}
+
 // settleArrived answers with the outcome of a call. A call without a record is fenced: that it did not
 // run is then true, because a copy that arrives later is refused.
 func (s *State) settleArrived(in SettleArrived) {
@@ -198,6 +212,7 @@
 	case in.TargetIncarnation != s.cfg.Incarnation:
 		s.answerWaiter(ask, &record{outcome: OutcomeUnknown, reason: ReasonWrongIncarnation})
 	case r != nil && r.state == recordConcluded:
+		r.askedAgain(in)
 		s.answerWaiter(ask, r)
 	case r != nil:
 		s.answerWaiter(ask, &record{outcome: OutcomePending})
@@ -210,6 +225,18 @@
 	}
 }
 
+// askedAgain keeps the fence of a key closed for what it was said to have refused: every call but the last one that took
+// the key, and that one's attempts so far.
+func (r *record) askedAgain(in SettleArrived) {
+	switch {
+	case r.reason != ReasonKeyMoved:
+	case r.id == in.ID:
+		r.attempt = max(r.attempt, in.Attempt)
+	case in.TakeKey:
+		r.id, r.attempt = in.ID, in.Attempt
+	}
+}
+
 // fence refuses a copy of a call that may still arrive, or every copy when another node takes the key.
 func (s *State) fence(in SettleArrived) *record {
 	r := &record{
@@ -218,7 +245,7 @@
 	}
 	retention := recordRetention
 	if in.TakeKey {
-		r.key, r.reason = executionKey(in.ID, in.Route, in.Key), ReasonKeyMoved
+		r.key, r.reason, r.attempt = executionKey(in.ID, in.Route, in.Key), ReasonKeyMoved, in.Attempt
 		retention = max(retention, in.KeyRetention)
 	}
 	s.target.records.insert(r, s.now+retention)
--- a/reducer/script_test.go
+++ b/reducer/script_test.go
@@ -98,6 +98,9 @@
 	return CallID{Origin: "o", Incarnation: 1, Seq: uint64(d.calls[name])}
 }
 
+// attemptOf returns the attempt that a command names, the first one when it names none.
+func attemptOf(args map[string]string) int { return max(number(args["attempt"]), 1) }
+
 func (d *testTarget) forward(name string, args map[string]string) string {
 	handle := Handle(len(d.names) + 1)
 	d.names[handle], d.calls[name] = name, handle
@@ -109,7 +112,7 @@
 		id = d.id(original)
 	}
 	return d.reduce(ForwardArrived{
-		Call: handle, ID: id, Attempt: 1, Route: route, Pool: "p", Priority: number(args["priority"]), Idempotent: args["once"] == "",
+		Call: handle, ID: id, Attempt: attemptOf(args), Route: route, Pool: "p", Priority: number(args["priority"]), Idempotent: args["once"] == "",
 		TimeLeft: milliseconds(args["left"]), TargetIncarnation: Incarnation(1 + number(args["later"])), Key: args["key"],
 	})
 }
@@ -128,7 +131,7 @@
 		return d.reduce(BackendDone{Call: d.calls[args["call"]], Result: BackendAnswered, Status: 200, Elapsed: milliseconds(args["took"])})
 	case "settle":
 		return d.reduce(SettleArrived{
-			Exchange: d.calls[args["call"]], ID: d.id(args["call"]), Attempt: 1, Route: "r", Key: args["key"],
+			Exchange: d.calls[args["call"]], ID: d.id(args["call"]), Attempt: attemptOf(args), Route: "r", Key: args["key"],
 			TakeKey: args["take"] != "", TargetIncarnation: Incarnation(1 + number(args["later"])),
 		})
 	case "drain":
