--- a/node/lifecycle_test.go
+++ b/node/lifecycle_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -16,7 +15,6 @@
 
 	standin "github.com/rosemaryhatch/rosemaryhatch/internal/standin/platform"
 	store "github.com/rosemaryhatch/rosemaryhatch/platform/kv"
-	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 	"github.com/rosemaryhatch/rosemaryhatch/settings"
 )
@@ -79,14 +77,8 @@
 	var at settings.Listen
 	p.target, at = run("n2", p.addresses.Peers)
 	server := httptest.NewServer(http.HandlerFunc(p.serve))
-	registration, _ := json.Marshal(backend.Registration{Service: "stitchroom", Address: server.Listener.Addr().String(), Slots: 6, State: backend.StateReady})
 	running.Go(func() {
-		for ctx.Err() == nil {
-			if response, err := http.Post("http://"+at.Register+backend.RegisterPath+"b1", "application/json", bytes.NewReader(registration)); err == nil {
-				response.Body.Close()
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
+		register(ctx, at.Register, settings.Backend{Service: "stitchroom", Address: server.Listener.Addr().String(), Heartbeat: 100 * time.Millisecond})
 	})
 	p.stop = sync.OnceFunc(func() {
 		cancel()
