--- a/operator/faults.go
+++ b/operator/faults.go
@@ -13,7 +13,7 @@
 
 // Known keys of the tables, for messages about unknown keys.
 const (
-	routeKeys = "host, path, methods, pool, priority, idempotent, timeout, retries, key_retention, max_body_bytes"
+	routeKeys = "host, path, methods, pool, priority, idempotent, timeout, retries, key_retention, max_body_bytes, split, target_latency, streaming"
 	poolKeys  = "service, queue_limit, ramp, min_share.0 to min_share.7"
 )
 
@@ -53,6 +53,8 @@
 	switch {
 	case len(key.ValueWithShadows()) > 1:
 		return "is set twice, expected each key once"
+	case key.Name() == "unsupported":
+		return fmt.Sprintf("says %q, so nodes would refuse all requests of the route", value)
 	case key.Name() == "host" && err == nil:
 		return fmt.Sprintf("is %q, expected a host without port", value)
 	case key.Name() == "path" && strings.ContainsAny(value, "?#"):
--- a/operator/nodestatus/status.go
+++ b/operator/nodestatus/status.go
@@ -23,11 +23,13 @@
 	Version      Version  `json:"version"`
 	VersionAgeMs int64    `json:"version_age_ms"`
 	Rejected     Rejected `json:"rejected_versions"`
-	Backend      Upstream `json:"backend"`
-	Load         Load     `json:"load"`
-	Calls        int      `json:"calls"`
-	Records      int      `json:"records"`
-	Members      []Member `json:"members"`
+	// UnsupportedRoutes are the routes of the active version whose requests the node refuses.
+	UnsupportedRoutes []UnsupportedRoute `json:"unsupported_routes,omitempty"`
+	Backend           Upstream           `json:"backend"`
+	Load              Load               `json:"load"`
+	Calls             int                `json:"calls"`
+	Records           int                `json:"records"`
+	Members           []Member           `json:"members"`
 }
 
 // Version identifies a version of the tables.
@@ -36,6 +38,12 @@
 	Hash   string `json:"hash"`
 }
 
+// UnsupportedRoute is a route that the node's release cannot serve.
+type UnsupportedRoute struct {
+	Name    string `json:"name"`
+	Problem string `json:"problem"`
+}
+
 // Rejected counts the versions that a node rejected, by reason.
 type Rejected struct {
 	Older       uint64 `json:"older"`
@@ -108,6 +116,9 @@
 		Backend: newUpstream(s.Backend), Load: newLoad(s.Load), Calls: s.Calls, Records: s.Records,
 		Members: make([]Member, 0, len(s.Members)),
 	}
+	for _, route := range s.Unsupported {
+		out.UnsupportedRoutes = append(out.UnsupportedRoutes, UnsupportedRoute{Name: route.Name, Problem: route.Unsupported})
+	}
 	for _, m := range s.Members {
 		out.Members = append(out.Members, Member{
 			Node: string(m.Node), Zone: m.Zone, State: m.State.String(), Address: m.Address, Operator: m.Operator,
--- a/operator/output.go
+++ b/operator/output.go
@@ -118,7 +118,8 @@
 	})
 }
 
-// WriteStatus writes one row per node, followed by the problems of nodes whose status is not known.
+// WriteStatus writes one row per node, followed by the problems of nodes whose status is not known and the routes that
+// nodes refuse to serve.
 func (o Output) WriteStatus(answers []NodeAnswer) {
 	o.write(answers, func(w io.Writer) {
 		table := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
@@ -131,6 +132,9 @@
 			if answer.Problem != "" {
 				fmt.Fprintf(w, "%s: %s\n", answer.Address, answer.Problem)
 			}
+			for _, route := range answer.Status.UnsupportedRoutes {
+				fmt.Fprintf(w, "%s: refuses requests on route %s: %s\n", answer.Address, route.Name, route.Problem)
+			}
 		}
 	})
 }
--- a/reducer/config.go
+++ b/reducer/config.go
@@ -228,11 +228,28 @@
 	s.config.activeSince = s.now
 	s.config.lastDelta = delta
 	s.log(LevelInfo, "configuration active", Field{"version", c.id.Number}, Field{"hash", c.id.Hash})
+	s.logUnsupportedRoutes()
 	s.emit(Publish{Snapshot: c.snapshot})
 	s.announceVersion(c)
 	s.startQueuedCalls()
 }
 
+// maxLoggedUnsupportedRoutes is the maximum number of unsupported routes of one version that are logged one by one.
+const maxLoggedUnsupportedRoutes = 8
+
+// logUnsupportedRoutes logs the routes of the active version whose requests are refused.
+func (s *State) logUnsupportedRoutes() {
+	unsupported := s.config.active.UnsupportedRoutes()
+	for i, route := range unsupported {
+		if i == maxLoggedUnsupportedRoutes {
+			s.log(LevelWarn, "more routes are not supported", Field{"version", s.config.active.ID().Number}, Field{"routes", len(unsupported) - i})
+			return
+		}
+		s.log(LevelWarn, "route is not supported, its requests are refused", Field{"version", s.config.active.ID().Number},
+			Field{"route", route.Name}, Field{"problem", route.Unsupported})
+	}
+}
+
 // announceVersion tells the peers in this zone about the version that became active. Other zones have readers of their
 // own and see the version number in the next heartbeat.
 //
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -123,6 +123,8 @@
 	switch {
 	case !ok:
 		return tables.Route{}, ReasonNoRoute
+	case route.Unsupported != "":
+		return *route, ReasonUnsupportedRoute
 	case in.Depth >= MaxDepth:
 		return *route, ReasonTooDeep
 	case in.BodyBytes > route.MaxBodyBytes:
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -15,11 +15,13 @@
 	Version    tables.VersionID
 	VersionAge time.Duration
 	Refusals   ConfigRefusals
-	Members    []Member
-	Backend    Upstream
-	Load       LoadReport
-	Calls      int // calls that entered at this node and have no response yet
-	Records    int // execution records
+	// Unsupported holds the routes of the active version whose requests are refused. It must not be modified.
+	Unsupported []tables.Route
+	Members     []Member
+	Backend     Upstream
+	Load        LoadReport
+	Calls       int // calls that entered at this node and have no response yet
+	Records     int // execution records
 }
 
 func (s *State) status() Status {
@@ -28,9 +30,9 @@
 		Ready:   s.isReady() && s.shutdown.phase == phaseServing,
 		Leaving: s.shutdown.phase != phaseServing,
 		Version: s.config.active.ID(), VersionAge: s.now - s.config.activeSince,
-		Refusals: s.config.refusals,
-		Members:  append([]Member(nil), s.members.sorted()...),
-		Backend:  s.members.table[s.cfg.Self].Upstream,
-		Load:     s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
+		Refusals: s.config.refusals, Unsupported: s.config.active.UnsupportedRoutes(),
+		Members: append([]Member(nil), s.members.sorted()...),
+		Backend: s.members.table[s.cfg.Self].Upstream,
+		Load:    s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
 	}
 }
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -108,7 +108,8 @@
 	ReasonKeyOwnerLost
 	ReasonKeyMoved
 	ReasonForgotten
-	ReasonOtherBackend // another backend server now has the address
+	ReasonOtherBackend     // another backend server now has the address
+	ReasonUnsupportedRoute // this release cannot serve the route
 	reasonCount
 )
 
@@ -117,6 +118,7 @@
 	"body_too_large", "body_incomplete", "too_deep", "leaving", "draining", "wrong_incarnation",
 	"fenced", "records_full", "shed", "backend_unreachable", "backend_failed", "peer_unreachable",
 	"caller_gone", "key_owner_lost", "key_moved", "forgotten", "other_backend",
+	"unsupported_route",
 }
 
 func (r Reason) String() string {
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -23,6 +23,7 @@
 	familyVersion      = "rosemaryhatch_config_version"
 	familyAge          = "rosemaryhatch_config_age_seconds"
 	familyRejected     = "rosemaryhatch_config_rejected"
+	familyUnsupported  = "rosemaryhatch_config_unsupported_routes"
 	familyMembers      = "rosemaryhatch_members"
 	familyPeerBytes    = "rosemaryhatch_peer_bytes_total"
 	familyMessageBytes = "rosemaryhatch_peer_message_bytes_total"
@@ -211,6 +212,7 @@
 		gauge := m.gauge("%s{state=%q}", familyMembers, member.State)
 		gauge.Update(gauge.Value() + 1)
 	}
+	m.gauge(familyUnsupported).Update(int64(len(status.Unsupported)))
 	m.gauge("%s{kind=%q}", familyRejected, "older").Update(int64(status.Refusals.Older))
 	m.gauge("%s{kind=%q}", familyRejected, "conflicting").Update(int64(status.Refusals.Conflicting))
 	m.gauge("%s{kind=%q}", familyRejected, "damaged").Update(int64(status.Refusals.Damaged))
--- a/tables/check.go
+++ b/tables/check.go
@@ -24,6 +24,11 @@
 	MaxQueueLimit       = 4096
 	DefaultRamp         = 10 * time.Second
 	MaxRamp             = 5 * time.Minute
+	// The limits on what callers may send.
+	MaxHeaderLimit   = 1 << 20
+	MaxBodyLimit     = 1 << 40
+	MaxHeaderTimeout = time.Hour
+	MaxIdleTimeout   = 24 * time.Hour
 )
 
 // Fault is one error in a document.
@@ -269,11 +274,18 @@
 			Retries:       int(s.integer("retries", DefaultRetries, 0, MaxRetries)),
 			KeyRetention:  s.duration("key_retention", DefaultKeyRetention, time.Second, MaxKeyRetention),
 			MaxBodyBytes:  s.integer("max_body_bytes", DefaultBodyBytes, 0, MaxBodyBytes),
+			Streaming:     s.boolean("streaming", false),
+			Unsupported:   s.text("unsupported", ""),
 		}
 		if !strings.HasPrefix(route.Path, "/") {
 			s.addFault("path", "is %q, expected a path that starts with /", route.Path)
 		}
-		c.checkPoolReferences(s, &route)
+		if route.Streaming && !route.Idempotent {
+			s.addFault("streaming", "is set on a route that is not idempotent, expected idempotent = yes")
+		}
+		if route.Unsupported == "" {
+			c.checkPoolReferences(s, &route)
+		}
 		s.rejectUnknownKeys()
 		c.rejectAmbiguousRoute(s, &route)
 		c.snapshot.routes = append(c.snapshot.routes, route)
@@ -285,10 +297,10 @@
 
 func (c *checker) checkLimits(s *section) {
 	c.snapshot.limits = Limits{
-		HeaderBytes:   int(s.integer("max_header_bytes", 0, 1, 1<<20)),
-		BodyBytes:     s.integer("max_body_bytes", 0, 0, 1<<40),
-		HeaderTimeout: s.duration("header_timeout", 0, time.Millisecond, time.Hour),
-		IdleTimeout:   s.duration("idle_timeout", 0, time.Millisecond, 24*time.Hour),
+		HeaderBytes:   int(s.integer("max_header_bytes", 0, 1, MaxHeaderLimit)),
+		BodyBytes:     s.integer("max_body_bytes", 0, 0, MaxBodyLimit),
+		HeaderTimeout: s.duration("header_timeout", 0, time.Millisecond, MaxHeaderTimeout),
+		IdleTimeout:   s.duration("idle_timeout", 0, time.Millisecond, MaxIdleTimeout),
 	}
 	s.rejectUnknownKeys()
 }
--- a/tables/snapshot.go
+++ b/tables/snapshot.go
@@ -30,6 +30,12 @@
 	Retries       int
 	KeyRetention  time.Duration // how long the outcome of a call with an idempotency key is kept
 	MaxBodyBytes  int64
+	// Streaming is set for a route with large responses, which nodes pass on while they receive them. Only an
+	// idempotent route can be streaming, because the response of any other call is kept for copies of the call.
+	Streaming bool
+	// Unsupported says why this release cannot serve the route; empty if it can. The route still takes the requests
+	// that match it, so that they do not fall to a route with a shorter path, and they are refused.
+	Unsupported string
 }
 
 // WeightedPool is one of the pools among which a route's requests are split, with its weight.
@@ -68,6 +74,17 @@
 	byService map[string]Pool
 }
 
+// UnsupportedRoutes returns the routes whose requests are refused because this release cannot serve them.
+func (s *Snapshot) UnsupportedRoutes() []Route {
+	var unsupported []Route
+	for _, route := range s.Routes() {
+		if route.Unsupported != "" {
+			unsupported = append(unsupported, route)
+		}
+	}
+	return unsupported
+}
+
 // ID returns the version number and hash of the snapshot; for a nil snapshot, the zero VersionID.
 func (s *Snapshot) ID() VersionID {
 	if s == nil {
