runner/ingress: run pipelined idempotent requests at the same time

Cause: net/http reads a request only after the handler of the one before it has returned, so each pipelined request waited for those ahead of it. Change: the connection below net/http reads ahead while a request is served, finds complete requests and has the calls begun that the reducer admits as idempotent; others are postponed to their turn (decision 0013). A caller that leaves now cancels all its calls, and a planned stop answers those begun.

--- a/internal/faultmatrix/scenarios.go
+++ b/internal/faultmatrix/scenarios.go
@@ -39,6 +39,11 @@
 	return []Scenario{
 		{Name: "idempotent call", Begin: func(w *pump.World) { sendRequest(w, Ingress, "r1", "/lookup", "", true) }, Length: 60 * time.Millisecond},
 		{Name: "non-idempotent call", Begin: func(w *pump.World) { sendRequest(w, Ingress, "r1", "/dues", "", false) }, Length: 60 * time.Millisecond},
+		{Name: "pipelined calls on one connection", Begin: func(w *pump.World) {
+			sendRequest(w, Ingress, "r1", "/dues", "", false)
+			sendPipelined(w, Ingress, "r2", "/lookup", true)
+			sendPipelined(w, Ingress, "r3", "/dues", false)
+		}, Length: 80 * time.Millisecond},
 		{Name: "call with an idempotency key, repeated at another node", Begin: func(w *pump.World) {
 			sendFirstRequest(w, Ingress, "r1", "/dues", "k1")
 			w.After(30*time.Millisecond, func() { sendRequest(w, Remote, "r2", "/dues", "k1", false) })
@@ -151,6 +156,12 @@
 	w.Request(w.Node(node), r, reducer.CallArrived{Host: "callers", Method: "POST", Path: path})
 }
 
+// sendPipelined sends a request behind another one on its connection.
+func sendPipelined(w *pump.World, node reducer.NodeID, id, path string, idempotent bool) {
+	r := invariant.Request{ID: id, Idempotent: idempotent}
+	w.Request(w.Node(node), r, reducer.CallArrived{Host: "callers", Method: "POST", Path: path, Pipelined: true})
+}
+
 // sendFirstRequest sends a request whose caller declares it the first attempt with its key.
 func sendFirstRequest(w *pump.World, node reducer.NodeID, id, path, key string) {
 	r := invariant.Request{ID: id, Key: key}
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -25,6 +25,8 @@
 		n.post(time.Millisecond, reducer.BodyRead{Call: e.Call, Result: reducer.BodyComplete})
 	case reducer.FailCall:
 		n.answerCaller(e.Call, invariant.Answer{Outcome: e.Outcome, Reason: e.Reason})
+	case reducer.PostponeCall:
+		n.repeatPostponed(e.Call)
 	case reducer.Deliver:
 		n.deliver(e)
 	case reducer.Forward:
@@ -91,6 +93,17 @@
 	})
 }
 
+// repeatPostponed lets a pipelined call arrive again, as if the request ahead of it had been answered meanwhile.
+func (n *Node) repeatPostponed(call reducer.Handle) {
+	g := n.traffic[call]
+	if g == nil || g.caller == nil {
+		return
+	}
+	arrived := g.caller.arrived
+	arrived.Pipelined = false
+	n.post(PostponeDelay, arrived)
+}
+
 // answerCaller records the answer to a caller and ends its request.
 func (n *Node) answerCaller(call reducer.Handle, answer invariant.Answer) {
 	g := n.traffic[call]
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -22,6 +22,7 @@
 	LinkDelay            = time.Millisecond
 	StoreDelay           = 3 * time.Millisecond
 	CheckDelay           = time.Millisecond
+	PostponeDelay        = 20 * time.Millisecond // until a postponed call arrives again
 	ServiceTime          = 20 * time.Millisecond
 	RegistrationInterval = time.Second
 	callTimeout          = time.Second // timeout of the runners for messages without an answer
@@ -110,6 +111,7 @@
 	request invariant.Request
 	node    *Node
 	handle  reducer.Handle
+	arrived reducer.CallArrived // repeated after PostponeCall
 }
 
 // New returns a world without nodes. All random numbers are derived from the seed.
@@ -216,6 +218,7 @@
 	if arrived.RetriesLeft == 0 {
 		arrived.RetriesLeft = -1
 	}
+	call.arrived = arrived
 	node.post(0, arrived)
 }
 
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -32,6 +32,10 @@
 	RetryAfter time.Duration // value of the Retry-After header; 0 for none
 }
 
+// PostponeCall ends the exchange of a pipelined call that was not begun. The call arrives again when the requests ahead of
+// it on its connection have been answered.
+type PostponeCall struct{ Call Handle }
+
 // Deliver ends a call of a caller with a response: the one that is kept for the call ResponseOf, or, when
 // ResponseOf is 0, the one that the given attempt received.
 type Deliver struct {
@@ -272,6 +276,7 @@
 
 func (ReadBody) effect()            {}
 func (FailCall) effect()            {}
+func (PostponeCall) effect()        {}
 func (Deliver) effect()             {}
 func (Forward) effect()             {}
 func (Probe) effect()               {}
@@ -309,6 +314,7 @@
 // CallHandle returns the handle of the goroutine that carries out the effect.
 func (e ReadBody) CallHandle() Handle            { return e.Call }
 func (e FailCall) CallHandle() Handle            { return e.Call }
+func (e PostponeCall) CallHandle() Handle        { return e.Call }
 func (e Deliver) CallHandle() Handle             { return e.Call }
 func (e Forward) CallHandle() Handle             { return e.Call }
 func (e Probe) CallHandle() Handle               { return e.Call }
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -40,6 +40,9 @@
 	RetriesLeft    int           // retries that the outer call has left; -1 when the caller did not send this number
 	Parent         CallID        // the outer call; zero when it is not known
 	RequestID      string        // the caller's identifier of the request; for logs only
+	// Pipelined is set for a request without a body that arrived while a request ahead of it on its connection is still
+	// being served. PostponeCall answers one that must not be begun yet.
+	Pipelined bool
 }
 
 // BodyRead reports that the request body has been read, or why reading it failed.
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -91,6 +91,11 @@
 // handleCallArrived admits a new call or refuses it.
 func (s *State) handleCallArrived(in CallArrived) {
 	route, reason := s.admitArrival(in)
+	if in.Pipelined && (reason != ReasonNone || !route.Idempotent) {
+		// The requests ahead of it may close the connection, and their callers then send it again as a new request.
+		s.emit(PostponeCall{Call: in.Call})
+		return
+	}
 	if reason != ReasonNone {
 		in.FirstAttempt = s.isFirstAttempt(in)
 		outcome := in.RefusalOutcome()
--- a/runner/ingress/drain.go
+++ b/runner/ingress/drain.go
@@ -32,6 +32,7 @@
 	ip       string
 	opened   time.Time
 	closed   atomic.Bool
+	ahead    readAhead
 
 	mu      sync.Mutex
 	busy    bool // bytes of a request have been read
@@ -40,6 +41,20 @@
 
 // Read implements net.Conn. It returns io.EOF if the connection is closing and no request has begun.
 func (c *callerConn) Read(p []byte) (int, error) {
+	if n := c.ahead.take(p); n > 0 {
+		return n, nil
+	}
+	// net/http reads a single byte to notice that the caller leaves while a request is served.
+	if len(p) == 1 && c.ahead.isAnswerDue() {
+		return c.readAheadOfResponse(p)
+	}
+	n, err := c.readConn(p)
+	c.ahead.observe(p[:n])
+	return n, err
+}
+
+// readConn reads from the connection like Read, without reading ahead.
+func (c *callerConn) readConn(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
 		if n > 0 {
@@ -103,6 +118,7 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	if c.closed.CompareAndSwap(false, true) {
+		c.ahead.cancel()
 		c.listener.release(c)
 	}
 	return c.Conn.Close()
@@ -120,11 +136,12 @@
 	_ = c.Conn.SetReadDeadline(pastDeadline) // fails only if the connection is closed
 }
 
-// markIdle records that the response to a request was written.
+// markIdle records that the response to a request was written. The connection stays busy if another request has begun
+// to arrive.
 func (c *callerConn) markIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.busy = false
+	c.busy = !c.ahead.isIdle()
 }
 
 // hasPendingBytes reports whether the connection has received bytes that are not read yet.
--- a/runner/ingress/exchange.go
+++ b/runner/ingress/exchange.go
@@ -41,8 +41,8 @@
 	response *traffic.Response
 }
 
-// run performs the effects of the call until a response is written to the caller.
-func (e *exchange) run() {
+// run performs the effects of the call until it has an answer.
+func (e *exchange) run() answer {
 	e.peerResponses = map[int]*traffic.Response{}
 	e.request = e.server.newRequest(e.r)
 	callerGone := e.r.Context().Done()
@@ -50,8 +50,8 @@
 		select {
 		case effect := <-e.mailbox.Effects:
 			e.decisionSpan.End()
-			if e.perform(effect) {
-				return
+			if a, ended := e.perform(effect); ended {
+				return a
 			}
 		case read := <-e.bodyRead:
 			e.bodyRead = nil
@@ -65,24 +65,23 @@
 			callerGone = nil
 			e.post(reducer.CallerGone{Call: e.mailbox.Handle})
 		case <-e.server.Control.Done():
-			e.finishWithoutControl()
-			return
+			return e.answerWithoutControl()
 		}
 	}
 }
 
-// finishWithoutControl ends the exchange after the control thread has ended. It writes the response that an effect
-// in the mailbox decides, or an unknown outcome if there is none.
-func (e *exchange) finishWithoutControl() {
+// answerWithoutControl returns the answer after the control thread has ended: the one that an effect in the mailbox
+// decides, or an unknown outcome if there is none.
+func (e *exchange) answerWithoutControl() answer {
 	for {
 		select {
 		case effect := <-e.mailbox.Effects:
-			if e.perform(effect) {
-				return
+			if a, ended := e.perform(effect); ended {
+				return a
 			}
 		default:
-			e.perform(reducer.FailCall{Call: e.mailbox.Handle, Outcome: reducer.OutcomeUnknown, Reason: reducer.ReasonLeaving})
-			return
+			a, _ := e.perform(reducer.FailCall{Call: e.mailbox.Handle, Outcome: reducer.OutcomeUnknown, Reason: reducer.ReasonLeaving})
+			return a
 		}
 	}
 }
@@ -92,8 +91,8 @@
 	e.waitingSince = time.Now()
 }
 
-// perform carries out one effect and reports whether it ended the exchange.
-func (e *exchange) perform(effect reducer.CallEffect) bool {
+// perform carries out one effect. For the last effect it returns the answer and true.
+func (e *exchange) perform(effect reducer.CallEffect) (answer, bool) {
 	switch effect := effect.(type) {
 	case reducer.ReadBody:
 		e.startBodyRead(effect)
@@ -111,17 +110,17 @@
 		e.abortBodyRead()
 		e.callSpan.SetCall(effect.ID)
 		e.callSpan.SetOutcome(effect.Outcome)
-		e.server.writeFailure(e.w, effect)
-		return true
+		return answer{failure: effect}, true
 	case reducer.Deliver:
 		e.callSpan.SetCall(effect.ID)
 		e.callSpan.SetOutcome(reducer.OutcomeDone)
-		e.deliver(effect)
-		return true
+		return answer{delivered: true, id: effect.ID, response: e.responseFor(effect)}, true
+	case reducer.PostponeCall:
+		return answer{postponed: true}, true
 	default:
 		panic("ingress: effect is not for a caller's exchange")
 	}
-	return false
+	return answer{}, false
 }
 
 // startBodyRead reads the body in another goroutine, so that a call whose body arrives slowly can be refused at its
@@ -186,14 +185,14 @@
 	}()
 }
 
-func (e *exchange) deliver(effect reducer.Deliver) {
-	response := e.peerResponses[effect.Attempt]
+// responseFor returns the response that a Deliver effect refers to, or nil if it is no longer kept.
+func (e *exchange) responseFor(effect reducer.Deliver) *traffic.Response {
 	switch effect.ResponseOf {
 	case 0:
+		return e.peerResponses[effect.Attempt]
 	case e.mailbox.Handle:
-		response = e.localResponse
+		return e.localResponse
 	default:
-		response = e.server.Responses.Get(effect.ResponseOf)
+		return e.server.Responses.Get(effect.ResponseOf)
 	}
-	e.server.writeResponse(e.w, e.r.Method, effect.ID, response)
 }
--- a/runner/ingress/http.go
+++ b/runner/ingress/http.go
@@ -79,6 +79,18 @@
 // reasonBadRequest is the reason for refusing a request that is invalid. The reducer does not see such a request.
 const reasonBadRequest = "bad_request"
 
+// writeAnswer writes the response to a request with the given method.
+func (s *Server) writeAnswer(w http.ResponseWriter, method string, a answer) {
+	switch {
+	case a.badRequest != nil:
+		s.writeBadRequest(w, a.failure.Outcome, a.badRequest)
+	case a.delivered:
+		s.writeResponse(w, method, a.id, a.response)
+	default:
+		s.writeFailure(w, a.failure)
+	}
+}
+
 func (s *Server) writeBadRequest(w http.ResponseWriter, outcome reducer.Outcome, err error) {
 	s.Front.SetFailureHeaders(w.Header(), reducer.FailCall{Outcome: outcome})
 	writeJSON(w, http.StatusBadRequest, failureBody{
--- a/runner/ingress/limit.go
+++ b/runner/ingress/limit.go
@@ -17,6 +17,7 @@
 	permits   chan struct{} // semaphore with one element per open connection and one for a running Accept
 	maxPerIP  int
 	onRefused func(reason string)
+	beginCall func(*pipelinedCall) bool // begins a pipelined call early; may be nil
 	done      chan struct{}
 	closeOnce sync.Once
 
@@ -48,6 +49,7 @@
 			return nil, err
 		}
 		c := &callerConn{Conn: conn, listener: l, ip: remoteIP(conn), opened: time.Now()}
+		c.ahead.begin = l.beginCall
 		if l.track(c) {
 			return c, nil
 		}
--- a/runner/ingress/server.go
+++ b/runner/ingress/server.go
@@ -96,7 +96,10 @@
 		WriteTimeout:      WriteTimeout,
 		IdleTimeout:       idleTimeout,
 		ConnState:         connState,
-		ErrorLog:          stdlog.New(log.NewStdlibAdapter(level.Error(o.Logger)), "", 0),
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+		ErrorLog: stdlog.New(log.NewStdlibAdapter(level.Error(o.Logger)), "", 0),
 	}
 	return s
 }
@@ -105,6 +108,7 @@
 // http.ErrServerClosed. It returns the error of an Accept that fails for another reason.
 func (s *Server) Serve(listener net.Listener) error {
 	limited := newLimitedListener(listener, maxConnections, maxConnectionsPerIP, s.OnRefused)
+	limited.beginCall = s.beginPipelined
 	s.mu.Lock()
 	s.listeners = append(s.listeners, limited)
 	s.mu.Unlock()
@@ -135,18 +139,51 @@
 // Close closes the listeners and all connections immediately.
 func (s *Server) Close() error { return s.http.Close() }
 
+// connKey is the key of the callerConn in the context of a request.
+type connKey struct{}
+
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.keepAliveStopped.Load() {
+	var ahead *readAhead
+	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		ahead = &conn.ahead
+		defer ahead.endRequest()
+	}
+	call, behind := ahead.beginRequest(r)
+	// Calls that were begun early get their responses on this connection before it is closed.
+	if s.keepAliveStopped.Load() && behind == 0 {
 		w.Header().Set("Connection", "close")
 	}
+	if call != nil {
+		if a := awaitPipelined(r.Context(), call); !a.postponed {
+			s.writeAnswer(w, r.Method, a)
+			return
+		}
+	}
+	s.writeAnswer(w, r.Method, s.serveCall(w, r))
+}
+
+// answer is how a call of a caller ended: with a response of the backend server, with a failure or with an invalid
+// request.
+type answer struct {
+	postponed  bool              // the call was not begun and must be begun again when its turn comes
+	badRequest error             // the request is invalid; failure has the outcome
+	delivered  bool              // the backend server responded
+	id         reducer.CallID    // of a delivered response
+	response   *traffic.Response // nil if the response is no longer kept
+	failure    reducer.FailCall  // unless the call was postponed or delivered
+}
+
+// serveCall has a call decided and returns its answer. A nil w means that the call is begun before the requests ahead of
+// it on its connection were answered.
+func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) answer {
 	mailbox := s.Mailboxes.Open()
 	defer mailbox.Close()
 	call, err := s.parseCall(mailbox.Handle, r)
+	call.Pipelined = w == nil
 	if err != nil {
 		s.OnRefused(reasonBadRequest)
-		s.writeBadRequest(w, call.RefusalOutcome(), err)
-		return
+		return answer{badRequest: err, failure: reducer.FailCall{Outcome: call.RefusalOutcome()}}
 	}
 	traceCtx, span := s.Tracer.StartServerSpan(context.WithoutCancel(r.Context()), telemetry.SpanCall, r.Header)
 	defer span.End()
@@ -154,8 +191,7 @@
 	if !s.Control.PostArrival(call) {
 		decision.End()
 		s.OnRefused(reducer.ReasonOverloaded.String())
-		s.writeFailure(w, reducer.FailCall{Outcome: call.RefusalOutcome(), Reason: reducer.ReasonOverloaded})
-		return
+		return answer{failure: reducer.FailCall{Outcome: call.RefusalOutcome(), Reason: reducer.ReasonOverloaded}}
 	}
 	ctx, cancel := context.WithCancel(traceCtx)
 	defer cancel()
@@ -163,5 +199,5 @@
 		server: s, w: w, r: r, mailbox: mailbox, ctx: ctx, results: make(chan attemptResult, maxPendingResults),
 		callSpan: span, decisionSpan: decision, waitingSince: time.Now(),
 	}
-	e.run()
+	return e.run()
 }
