runner, reducer: pass long responses on while they are received

Cause: a node kept each response as a whole on both hops, and one of 540 KB held up all other responses on its connection between nodes. Change: on streaming routes a response longer than 768 KiB is passed on while it is received, within a window; between nodes the ingress node asks for parts of 64 KiB (decision 0014). The slot stays taken until BackendStreamEnded. Found on the way: a call whose forwarder's connection was lost never got an answer, so its goroutine stayed and Drain waited for it (TestCallOfLostForwarderIsAnswered failed first); the abort of an earlier local attempt followed the effect that ends its exchange and was lost.

--- a/internal/faultmatrix/faults.go
+++ b/internal/faultmatrix/faults.go
@@ -110,6 +110,13 @@
 priority = 1
 timeout = 2s
 key_retention = 10s
+[route download]
+path = /download
+pool = stitchroom
+priority = 1
+idempotent = yes
+streaming = yes
+timeout = 2s
 [route urgent]
 path = /urgent
 pool = stitchroom
--- a/internal/faultmatrix/scenarios.go
+++ b/internal/faultmatrix/scenarios.go
@@ -39,6 +39,7 @@
 	return []Scenario{
 		{Name: "idempotent call", Begin: func(w *pump.World) { sendRequest(w, Ingress, "r1", "/lookup", "", true) }, Length: 60 * time.Millisecond},
 		{Name: "non-idempotent call", Begin: func(w *pump.World) { sendRequest(w, Ingress, "r1", "/dues", "", false) }, Length: 60 * time.Millisecond},
+		{Name: "download", Begin: func(w *pump.World) { sendRequest(w, Ingress, "r1", "/download", "", true) }, Length: 80 * time.Millisecond},
 		{Name: "pipelined calls on one connection", Begin: func(w *pump.World) {
 			sendRequest(w, Ingress, "r1", "/dues", "", false)
 			sendPipelined(w, Ingress, "r2", "/lookup", true)
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -194,6 +194,12 @@
 		if e.KeepResponse {
 			n.keptResponses[e.Call] = g.request
 		}
+		if e.Streaming {
+			g.streaming = true
+			n.post(0, reducer.BackendRequestDone{Call: e.Call, Result: reducer.BackendAnswered, Status: 200, Streaming: true, Elapsed: n.world.Now - startedAt})
+			n.after(StreamTime, func() { n.endBackendRequest(e.Call, g, reducer.BackendAnswered, 0) })
+			return
+		}
 		n.endBackendRequest(e.Call, g, reducer.BackendAnswered, n.world.Now-startedAt)
 	})
 }
@@ -204,6 +210,10 @@
 	}
 	g.running = false
 	n.Backend.Running--
+	if g.streaming {
+		n.post(0, reducer.BackendStreamEnded{Call: call})
+		return
+	}
 	n.post(0, reducer.BackendRequestDone{Call: call, Result: result, Status: 200, Bytes: 1, KeptBytes: 1, Elapsed: elapsed})
 }
 
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -22,6 +22,7 @@
 	LinkDelay            = time.Millisecond
 	StoreDelay           = 3 * time.Millisecond
 	CheckDelay           = time.Millisecond
+	StreamTime           = 20 * time.Millisecond // from the first part of a streaming response to its end
 	PostponeDelay        = 20 * time.Millisecond // until a postponed call arrives again
 	ServiceTime          = 20 * time.Millisecond
 	RegistrationInterval = time.Second
@@ -104,6 +105,7 @@
 	responses     map[int]invariant.Request // by attempt
 	localResponse invariant.Request
 	running       bool
+	streaming     bool // the first part of the response has arrived
 }
 
 // callerCall is a request whose caller waits for the answer.
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -61,6 +61,7 @@
 	DueIn        time.Duration // as in ForwardArrived
 	Limits       CallLimits
 	RequestID    string
+	Streaming    bool // the response may be passed on while it is received
 }
 
 // Probe checks whether the connection of a forwarded attempt answers within Timeout. A connection that does
@@ -95,13 +96,14 @@
 
 // StartBackendRequest sends a call to the backend server beside this node. BackendRequestDone reports its end.
 type StartBackendRequest struct {
-	Call     Handle
-	ID       CallID
-	Address  string
-	Instance string        // incarnation of the backend server that may run the call; empty allows any
-	TimeLeft time.Duration // remaining time that the backend server is told
-	Timeout  time.Duration // timeout of the request; longer than TimeLeft for a call that is not idempotent
-	Limits   CallLimits
+	Call      Handle
+	ID        CallID
+	Address   string
+	Instance  string        // incarnation of the backend server that may run the call; empty allows any
+	TimeLeft  time.Duration // remaining time that the backend server is told
+	Timeout   time.Duration // timeout of the request; longer than TimeLeft for a call that is not idempotent
+	Limits    CallLimits
+	Streaming bool // a long response is passed on while it is received
 	// KeepResponse keeps the response until DropResponse, so that copies of the call can be answered with it.
 	KeepResponse bool
 }
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -124,6 +124,7 @@
 	BodyBytes         int64
 	Limits            CallLimits
 	RequestID         string // the caller's identifier of the request; for logs only
+	Streaming         bool   // the peer can take the response while it is received
 }
 
 // ForwarderGone reports that the peer connection on which a forwarded call arrived was closed.
@@ -162,7 +163,8 @@
 	BackendMisdirected                          // another backend server now has the address; it did not run the request
 )
 
-// BackendRequestDone reports the end of a request that a StartBackendRequest effect sent.
+// BackendRequestDone reports the end of a request that a StartBackendRequest effect sent, or, with Streaming, that the
+// first part of its response has arrived.
 type BackendRequestDone struct {
 	Call      Handle
 	Result    BackendResult
@@ -170,8 +172,13 @@
 	Bytes     int64 // size of the response body
 	KeptBytes int64 // bytes of the response that are kept for later copies of the call
 	Elapsed   time.Duration
+	Streaming bool // the backend server still sends the response; BackendStreamEnded reports its end
 }
 
+// BackendStreamEnded reports that the backend server no longer works on a request whose BackendRequestDone was
+// Streaming: the response is complete, broke off, or nobody takes it any more.
+type BackendStreamEnded struct{ Call Handle }
+
 // BackendRegistered reports a registration of the backend server beside this node. The backend server
 // repeats it each second as its heartbeat.
 //
@@ -322,6 +329,7 @@
 func (SettleArrived) input()        {}
 func (CancelArrived) input()        {}
 func (BackendRequestDone) input()   {}
+func (BackendStreamEnded) input()   {}
 func (BackendRegistered) input()    {}
 func (BackendDeregistered) input()  {}
 func (DeregistrationStored) input() {}
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -281,6 +281,7 @@
 		Route: call.route.Name, Pool: call.route.Pool, Priority: call.route.Priority,
 		Idempotent: call.route.Idempotent, Key: call.key, KeyRetention: call.route.KeyRetention,
 		TimeLeft: left, DueIn: s.timeUntilDue(call), Limits: call.limits, RequestID: call.requestID,
+		Streaming: call.route.Streaming,
 	})
 	s.timers.set(timerKey{kind: timerIngressCheck, call: call.handle}, s.nextCheckTime(call))
 }
@@ -357,6 +358,7 @@
 func (s *State) handleAttemptAnswered(call *ingressCall, outcome Outcome, reason Reason, responseOf Handle) {
 	switch {
 	case outcome == OutcomeDone:
+		s.cancelEarlier(call) // before the effect that ends the exchange
 		s.emit(Deliver{Call: call.handle, ID: call.id, Attempt: call.attempt, ResponseOf: responseOf})
 		s.finish(call, OutcomeDone, reason)
 	case outcome == OutcomeNotRun:
@@ -478,14 +480,14 @@
 	if outcome == OutcomeNotRun && !call.isCertainlyNotRun() {
 		outcome = OutcomeUnknown
 	}
+	s.cancelEarlier(call) // before the effect that ends the exchange
 	s.emit(FailCall{Call: call.handle, ID: call.id, Outcome: outcome, Reason: reason, RetryAfter: s.retryAfter(call, outcome, reason)})
 	s.finish(call, outcome, reason)
 }
 
-// finish removes a call and cancels an earlier attempt that is still open.
+// finish removes a call whose attempts have ended.
 func (s *State) finish(call *ingressCall, outcome Outcome, reason Reason) {
 	s.setPhase(call, ingressFinished)
-	s.cancelEarlier(call)
 	s.ingress.reservedBytes -= call.reservedBytes
 	delete(s.ingress.calls, call.handle)
 	s.timers.cancel(timerKey{kind: timerIngressDeadline, call: call.handle})
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -143,6 +143,8 @@
 		s.handleCancelArrived(in)
 	case BackendRequestDone:
 		s.handleBackendRequestDone(in)
+	case BackendStreamEnded:
+		s.handleBackendStreamEnded(in)
 	case BackendRegistered:
 		s.handleBackendRegistered(in)
 	case BackendDeregistered:
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -12,6 +12,7 @@
 const (
 	targetQueued targetPhase = iota + 1
 	targetRunning
+	targetStreaming // answered; the backend server still sends the response
 )
 
 // targetCall is a call for the backend server beside this node.
@@ -24,6 +25,7 @@
 	pool         string
 	priority     int
 	idempotent   bool
+	streaming    bool // a long response may be passed on while it is received
 	local        bool // it entered at this node
 	abandoned    bool // nobody waits for it, but its record may need the outcome
 	limits       CallLimits
@@ -35,13 +37,14 @@
 	queuedAt     time.Duration
 	startedAt    time.Duration
 	deadline     time.Duration
-	due          time.Duration // 0 when there is none
-	late         bool          // it is not expected to end by its due time
-	cost         time.Duration // expected slot time
-	fromMinShare bool          // its slot counts towards the minimum share of its priority
-	queueSeq     uint64        // order of arrival
-	retriesUsed  int           // retries of calls made on its behalf
-	prev, next   *targetCall   // neighbours in the callList that holds it
+	due          time.Duration      // 0 when there is none
+	late         bool               // it is not expected to end by its due time
+	cost         time.Duration      // expected slot time
+	fromMinShare bool               // its slot counts towards the minimum share of its priority
+	queueSeq     uint64             // order of arrival
+	retriesUsed  int                // retries of calls made on its behalf
+	prev, next   *targetCall        // neighbours in the callList that holds it
+	streamDone   BackendRequestDone // in phase targetStreaming
 
 	keyRetention time.Duration
 }
@@ -72,7 +75,7 @@
 	return &targetCall{
 		handle: call.handle, id: call.id, attempt: call.attempt, route: call.route.Name, key: call.key,
 		keyRetention: call.route.KeyRetention, pool: call.route.Pool, priority: call.route.Priority,
-		idempotent: call.route.Idempotent, local: true, limits: call.limits, bytes: call.reservedBytes, requestID: call.requestID,
+		idempotent: call.route.Idempotent, local: true, limits: call.limits, bytes: call.reservedBytes, requestID: call.requestID, streaming: call.route.Streaming,
 		deadline: call.deadline, due: call.due,
 	}
 }
@@ -83,7 +86,7 @@
 		handle: in.Call, id: in.ID, attempt: max(in.Attempt, 1), route: in.Route, key: in.Key,
 		keyRetention: in.KeyRetention, pool: in.Pool, priority: min(max(in.Priority, 0), tables.Priorities-1),
 		idempotent: in.Idempotent, limits: in.Limits, requestID: in.RequestID, bytes: in.BodyBytes, deadline: s.now + in.TimeLeft, due: dueAt(s.now, in.DueIn),
-		arrivedAt: s.now,
+		arrivedAt: s.now, streaming: in.Streaming && in.Idempotent,
 	}
 	if in.TargetIncarnation != s.cfg.Incarnation {
 		s.answerCall(call, OutcomeNotRun, ReasonWrongIncarnation)
@@ -152,7 +155,7 @@
 	}
 	s.emit(StartBackendRequest{
 		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Timeout: timeout,
-		Limits: call.limits, KeepResponse: call.record != nil,
+		Limits: call.limits, KeepResponse: call.record != nil, Streaming: call.streaming,
 	})
 }
 
@@ -161,6 +164,10 @@
 	if call == nil || call.phase != targetRunning {
 		return
 	}
+	if in.Streaming {
+		s.beginStream(call, in)
+		return
+	}
 	s.target.running--
 	s.accountForExecution(call, in)
 	s.removeTargetCall(call)
@@ -173,6 +180,30 @@
 	s.handOverWhenIdle()
 }
 
+// beginStream answers a call whose response is passed on while the backend server sends it. The call keeps its slot until
+// handleBackendStreamEnded; the runner ends the request at the deadline.
+func (s *State) beginStream(call *targetCall, in BackendRequestDone) {
+	call.phase = targetStreaming
+	call.streamDone = in
+	s.timers.cancel(timerKey{kind: timerTargetDeadline, call: call.handle})
+	s.completeCall(call, OutcomeDone, ReasonNone, in)
+	call.abandoned = true // it has its answer
+}
+
+// handleBackendStreamEnded frees the slot of a call that beginStream answered. Its service time is that until the first
+// part of the response: the rest depends on how fast the caller reads.
+func (s *State) handleBackendStreamEnded(in BackendStreamEnded) {
+	call := s.target.calls[in.Call]
+	if call == nil || call.phase != targetStreaming {
+		return
+	}
+	s.target.running--
+	s.accountForExecution(call, call.streamDone)
+	s.removeTargetCall(call)
+	s.startQueuedCalls()
+	s.handOverWhenIdle()
+}
+
 // accountForExecution charges the slot time of an execution and updates the service times. Failures do not count
 // towards those: a backend server that fails fast must not look fast.
 func (s *State) accountForExecution(call *targetCall, in BackendRequestDone) {
@@ -292,13 +323,10 @@
 }
 
 // handleForwarderGone handles the loss of the connection on which a call arrived. Only an idempotent call is cancelled;
-// the outcome of any other may still be asked for.
+// the outcome of any other may still be asked for. The call is answered all the same, which ends its traffic goroutine.
 func (s *State) handleForwarderGone(in ForwarderGone) {
-	if call := s.target.calls[in.Call]; call != nil && !call.local {
-		call.abandoned = true
-		if call.idempotent {
-			s.cancelTargetCall(call)
-		}
+	if call := s.target.calls[in.Call]; call != nil && !call.local && call.idempotent {
+		s.cancelTargetCall(call)
 	}
 }
 
--- a/runner/backend/client.go
+++ b/runner/backend/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
@@ -76,43 +77,58 @@
 	if response != nil {
 		done.Status = response.Status
 		done.Bytes = int64(len(response.Body))
+		done.Streaming = response.Rest != nil
 	}
 	return response, done
 }
 
-// send sends the request within start.Timeout. The response is nil unless the result is BackendAnswered.
+// send sends the request within start.Timeout. The response is nil unless the result is BackendAnswered. The connection
+// of a streaming response is released when the response ends.
 func (c *Client) send(ctx context.Context, start reducer.StartBackendRequest, request *traffic.Request) (*traffic.Response, reducer.BackendResult) {
 	ctx, cancel := context.WithTimeout(ctx, start.Timeout)
-	defer cancel()
 	head, err := c.encodeHead(start, request)
 	if err != nil {
+		cancel()
 		return nil, reducer.BackendNotSent
 	}
 	select {
 	case c.permits <- struct{}{}:
-		defer func() { <-c.permits }()
 	case <-ctx.Done():
+		cancel()
 		return nil, reducer.BackendNotSent
 	}
 	conn, err := c.getConn(ctx)
 	if err != nil {
+		<-c.permits
+		cancel()
 		return nil, reducer.BackendNotSent
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
-	response, reuse, err := conn.roundTrip(head, request, c.front)
-	if !stop() || err != nil || !reuse {
-		conn.Close()
-	} else {
-		c.putIdle(conn)
+	release := func(reuse bool) {
+		if !stop() || !reuse {
+			conn.Close()
+		} else {
+			c.putIdle(conn)
+		}
+		<-c.permits
+		cancel()
 	}
+	in, err := conn.roundTrip(head, request, c.front, start.Streaming)
 	if err != nil {
-		return nil, classifyFailure(ctx, conn)
+		result := classifyFailure(ctx, conn)
+		release(false)
+		return nil, result
 	}
-	result := c.front.ClassifyResponse(response.Status, response.Header)
-	if result != reducer.BackendAnswered {
+	if result := c.front.ClassifyResponse(in.response.Status, in.response.Header); result != reducer.BackendAnswered {
+		release(in.reuse && in.rest == nil)
 		return nil, result
 	}
-	return response, result
+	if in.rest != nil {
+		in.response.Rest = newBodyStream(ctx, in.rest, cancel, func(complete bool) { release(complete && conn.prepareReuse(in.head)) })
+		return in.response, reducer.BackendAnswered
+	}
+	release(in.reuse)
+	return in.response, reducer.BackendAnswered
 }
 
 // classifyFailure returns BackendNotSent if no byte of the request was written. Otherwise the request may have run.
@@ -250,6 +266,7 @@
 	reader        *bufio.Reader
 	limit         io.LimitedReader // limits the bytes read for one response
 	written       int              // bytes of the current request
+	streaming     bool             // the rest of the current response may be read later
 	reusableUntil time.Time        // end of the idle timeout
 }
 
@@ -273,60 +290,79 @@
 	return c.reader.Buffered() == 0 && !unread && !ended
 }
 
-// roundTrip sends a request and reads the complete response. It reports whether the connection may be reused.
-func (c *backendConn) roundTrip(h *requestHead, request *traffic.Request, front frontend.FrontEnd) (_ *traffic.Response, reuse bool, _ error) {
+// received is a response that answers a request.
+type received struct {
+	response *traffic.Response
+	reuse    bool           // the connection may be reused
+	rest     io.Reader      // the part of the body that has not been read; nil if the response is complete
+	head     *http.Response // with rest
+}
+
+// roundTrip sends a request and reads the response: completely, or with streaming up to traffic.MaxWholeBodyBytes.
+func (c *backendConn) roundTrip(h *requestHead, request *traffic.Request, front frontend.FrontEnd, streaming bool) (received, error) {
 	body := request.Body
 	if len(body) <= maxInlineBodyBytes {
 		if _, err := c.Write(append(h.bytes, body...)); err != nil {
-			return nil, false, err
+			return received{}, err
 		}
-		return c.readResponse(h, front)
+		return c.readResponse(h, front, streaming)
 	}
 	if _, err := c.Write(h.bytes); err != nil {
-		return nil, false, err
+		return received{}, err
 	}
 	bodyWritten := make(chan error, 1)
 	go func() {
 		_, err := c.Conn.Write(body)
 		bodyWritten <- err
 	}()
-	response, reuse, err := c.readResponse(h, front)
+	in, err := c.readResponse(h, front, false)
 	select {
 	case writeErr := <-bodyWritten:
-		return response, reuse && writeErr == nil, err
+		in.reuse = in.reuse && writeErr == nil
 	default: // close, so that the rest of the body cannot be read as another request
 		c.Close()
 		<-bodyWritten
-		return response, false, err
+		in.reuse = false
 	}
+	return in, err
 }
 
-// readResponse skips responses until it has read the one that answers the request, and reports whether the
-// connection may be reused.
-func (c *backendConn) readResponse(h *requestHead, front frontend.FrontEnd) (*traffic.Response, bool, error) {
+// readResponse skips responses until it has read the one that answers the request.
+func (c *backendConn) readResponse(h *requestHead, front frontend.FrontEnd, streaming bool) (received, error) {
 	for range maxResponsesPerRequest {
-		in, body, err := c.readNextResponse(h.method)
+		in, body, err := c.readNextResponse(h, front, streaming)
 		if err != nil {
-			return nil, false, err
+			return received{}, err
 		}
 		if in.StatusCode < http.StatusOK && in.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
 		if in.StatusCode == http.StatusSwitchingProtocols {
-			return nil, false, errProtocolSwitched
+			return received{}, errProtocolSwitched
 		}
 		if front.ResponseMatches(h.header, in.Header, in.StatusCode) {
-			reuse := c.prepareReuse(in)
-			for _, name := range connectionHeaders {
-				delete(in.Header, name) // not forwarded to the ingress node
-			}
-			return &traffic.Response{Status: in.StatusCode, Header: in.Header, Body: body}, reuse, nil
+			return c.received(in, body), nil
 		}
 		if in.Close {
 			break
 		}
 	}
-	return nil, false, errStaleResponses
+	return received{}, errStaleResponses
+}
+
+// received returns a response with the part of its body that was read. A longer body is streaming.
+func (c *backendConn) received(in *http.Response, body []byte) received {
+	out := received{response: &traffic.Response{Status: in.StatusCode, Header: in.Header, Body: body}}
+	if len(body) > traffic.MaxWholeBodyBytes && in.Body != http.NoBody && c.streaming {
+		out.rest, out.head = in.Body, &http.Response{Close: in.Close, Header: http.Header{"Keep-Alive": in.Header["Keep-Alive"]}}
+		out.response.Length = in.ContentLength
+	} else {
+		out.reuse = c.prepareReuse(in)
+	}
+	for _, name := range connectionHeaders {
+		delete(in.Header, name) // not forwarded to the ingress node
+	}
+	return out
 }
 
 var (
@@ -335,12 +371,20 @@
 	errResponseTooLarge = errors.New("the response body exceeds the limit")
 )
 
-func (c *backendConn) readNextResponse(method string) (*http.Response, []byte, error) {
+// readNextResponse reads the next response on the connection. With streaming, c.streaming tells whether a body that is
+// longer than traffic.MaxWholeBodyBytes was read only in part; a response to another request is always read to its end.
+func (c *backendConn) readNextResponse(h *requestHead, front frontend.FrontEnd, streaming bool) (*http.Response, []byte, error) {
 	c.limit.N = maxHeaderBytes
-	in, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	in, err := http.ReadResponse(c.reader, &http.Request{Method: h.method})
 	if err != nil {
 		return nil, nil, err
 	}
+	c.streaming = streaming && front.ResponseMatches(h.header, in.Header, in.StatusCode)
+	if c.streaming {
+		c.limit.N = math.MaxInt64 // the deadline bounds the response, and the stream its memory
+		body, err := readFirst(in, traffic.MaxWholeBodyBytes+1)
+		return in, body, err
+	}
 	c.limit.N = maxResponseBytes + maxHeaderBytes
 	body, err := io.ReadAll(io.LimitReader(in.Body, maxResponseBytes+1))
 	if err == nil && len(body) > maxResponseBytes {
@@ -349,6 +393,19 @@
 	return in, body, err
 }
 
+// readFirst reads the body of a response to its end, or up to limit bytes. It allocates once if the length is known.
+func readFirst(in *http.Response, limit int64) ([]byte, error) {
+	if in.ContentLength < 0 || in.Body == http.NoBody {
+		return io.ReadAll(io.LimitReader(in.Body, limit))
+	}
+	body := make([]byte, min(in.ContentLength, limit))
+	_, err := io.ReadFull(in.Body, body)
+	if err == nil && in.ContentLength <= limit {
+		_, err = io.Copy(io.Discard, in.Body) // reaches the end, after which the connection can be used again
+	}
+	return body, err
+}
+
 // connectionHeaders are the response headers that apply only to the connection with the backend server.
 var connectionHeaders = []string{"Connection", "Keep-Alive", "Transfer-Encoding"}
 
--- a/runner/backend/start.go
+++ b/runner/backend/start.go
@@ -25,20 +25,30 @@
 // Start sends a request in another goroutine and returns a function that aborts it. The request has been queued since
 // queuedAt. BackendRequestDone is posted even after an abort, because the request occupies a slot until then. Start
 // stores the response in *response before it posts the event; the caller may read it only when it has received an
-// effect that results from the event.
+// effect that results from the event. A streaming response is closed when ctx ends.
 func (s Starter) Start(ctx context.Context, effect reducer.StartBackendRequest, request *traffic.Request, queuedAt time.Time, response **traffic.Response) context.CancelFunc {
 	queueSpan := s.Tracer.StartInternalSpan(ctx, telemetry.SpanQueue, queuedAt)
 	queueSpan.SetCall(effect.ID)
 	queueSpan.End()
+	owner := ctx
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	s.Workers.Go(func() {
-		defer cancel()
 		request, span := s.Tracer.StartClientSpan(ctx, telemetry.SpanBackend, request)
 		defer span.End()
 		span.SetCall(effect.ID)
 		var done reducer.BackendRequestDone
 		*response, done = s.Backend.Run(ctx, effect, request)
+		if !done.Streaming {
+			cancel()
+			s.Post(done)
+			return
+		}
+		rest := (*response).Rest
+		context.AfterFunc(owner, rest.Close)
 		s.Post(done)
+		<-rest.Ended()
+		cancel()
+		s.Post(reducer.BackendStreamEnded{Call: effect.Call})
 	})
 	return cancel
 }
--- a/runner/ingress/exchange.go
+++ b/runner/ingress/exchange.go
@@ -165,6 +165,9 @@
 		span.SetCall(effect.ID)
 		span.SetAttempt(effect.Attempt, effect.To.Node)
 		done, response := e.server.Forwarder.Forward(e.ctx, effect, request)
+		if response != nil && response.Rest != nil {
+			context.AfterFunc(e.ctx, response.Discard)
+		}
 		e.results <- attemptResult{effect.Attempt, done, response}
 	})
 }
--- a/runner/ingress/http.go
+++ b/runner/ingress/http.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -79,18 +80,24 @@
 // reasonBadRequest is the reason for refusing a request that is invalid. The reducer does not see such a request.
 const reasonBadRequest = "bad_request"
 
-// writeAnswer writes the response to a request with the given method.
-func (s *Server) writeAnswer(w http.ResponseWriter, method string, a answer) {
+// writeAnswer writes the response to a request and releases the answer.
+func (s *Server) writeAnswer(w http.ResponseWriter, r *http.Request, a answer) {
+	if a.release != nil {
+		defer a.release()
+	}
 	switch {
 	case a.badRequest != nil:
 		s.writeBadRequest(w, a.failure.Outcome, a.badRequest)
 	case a.delivered:
-		s.writeResponse(w, method, a.id, a.response)
+		s.writeResponse(w, r, a.id, a.response)
 	default:
 		s.writeFailure(w, a.failure)
 	}
 }
 
+// reasonBrokenOff is the reason for closing a connection in the middle of a response.
+const reasonBrokenOff = "response_broke_off"
+
 func (s *Server) writeBadRequest(w http.ResponseWriter, outcome reducer.Outcome, err error) {
 	s.Front.SetFailureHeaders(w.Header(), reducer.FailCall{Outcome: outcome})
 	writeJSON(w, http.StatusBadRequest, failureBody{
@@ -113,7 +120,7 @@
 	writeJSON(w, s.Front.SetFailureHeaders(w.Header(), failure), body)
 }
 
-func (s *Server) writeResponse(w http.ResponseWriter, method string, id reducer.CallID, response *traffic.Response) {
+func (s *Server) writeResponse(w http.ResponseWriter, r *http.Request, id reducer.CallID, response *traffic.Response) {
 	header := w.Header()
 	if response == nil || response.Truncated {
 		s.Front.SetResponseHeaders(header, id)
@@ -129,16 +136,44 @@
 	switch {
 	case response.Status == http.StatusNoContent:
 		header.Del("Content-Length")
-	case method == http.MethodHead, response.Status == http.StatusNotModified:
+	case r.Method == http.MethodHead, response.Status == http.StatusNotModified:
 		// Content-Length stays as the backend server set it: the length of the response to a GET.
-	default:
+	case response.Rest == nil:
 		header.Set("Content-Length", strconv.Itoa(len(response.Body)))
+	case response.Length >= 0:
+		header.Set("Content-Length", strconv.FormatInt(response.Length, 10))
+	default:
+		header.Del("Content-Length") // the response is chunked
 	}
 	w.WriteHeader(response.Status)
 	if len(response.Body) > 0 {
 		// An error means that the caller has disconnected, which is not a failure of the call.
 		_, _ = w.Write(response.Body)
 	}
+	if response.Rest != nil {
+		s.writeRest(w, r, response.Rest)
+	}
+}
+
+// writeRest passes on the rest of a body. If the body breaks off, the connection is closed before the response looks
+// complete: its length, or the end of its last chunk, is missing.
+func (s *Server) writeRest(w http.ResponseWriter, r *http.Request, rest traffic.BodyStream) {
+	defer rest.Close()
+	for {
+		part, err := rest.Next(r.Context())
+		if err == nil {
+			_, err = w.Write(part)
+		}
+		switch {
+		case err == io.EOF:
+			return
+		case r.Context().Err() != nil:
+			panic(http.ErrAbortHandler) // the caller has disconnected
+		case err != nil:
+			s.OnRefused(reasonBrokenOff)
+			panic(http.ErrAbortHandler)
+		}
+	}
 }
 
 func isHopByHop(name string) bool { return slices.Contains(hopByHopHeaders, name) }
--- a/runner/ingress/readahead.go
+++ b/runner/ingress/readahead.go
@@ -22,7 +22,7 @@
 type pipelinedCall struct {
 	number  int // position of the request on the connection
 	request *http.Request
-	cancel  context.CancelFunc // reports that the caller has gone
+	cancel  context.CancelFunc // reports that the caller has gone, or that the answer was written
 	ended   chan struct{}      // closed when answer is set
 	answer  answer
 }
@@ -188,9 +188,13 @@
 		return false
 	}
 	s.Workers.Go(func() {
-		defer close(call.ended)
-		defer call.cancel()
 		call.answer = s.serveCall(nil, call.request)
+		close(call.ended)
+		context.AfterFunc(call.request.Context(), func() {
+			if call.answer.release != nil {
+				call.answer.release()
+			}
+		})
 	})
 	return true
 }
--- a/runner/ingress/readahead_test.go
+++ b/runner/ingress/readahead_test.go
@@ -73,7 +73,7 @@
 	case reducer.BodyRead:
 		c.mailboxes.Deliver(reducer.StartBackendRequest{Call: in.Call})
 	case reducer.CallerGone:
-		c.mailboxes.Deliver(reducer.AbortBackendRequest{Call: in.Call})
+		c.mailboxes.Deliver(reducer.AbortBackendRequest(in))
 	case reducer.BackendRequestDone:
 		if in.Result == reducer.BackendAborted {
 			c.mailboxes.Deliver(reducer.FailCall{Call: in.Call, Outcome: reducer.OutcomeUnknown, Reason: reducer.ReasonCallerGone})
--- a/runner/ingress/server.go
+++ b/runner/ingress/server.go
@@ -155,12 +155,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	if call != nil {
-		if a := awaitPipelined(r.Context(), call); !a.postponed {
-			s.writeAnswer(w, r.Method, a)
+		a := awaitPipelined(r.Context(), call)
+		defer call.cancel()
+		if !a.postponed {
+			s.writeAnswer(w, r, a)
 			return
 		}
 	}
-	s.writeAnswer(w, r.Method, s.serveCall(w, r))
+	s.writeAnswer(w, r, s.serveCall(w, r))
 }
 
 // answer is how a call of a caller ended: with a response of the backend server, with a failure or with an invalid
@@ -172,6 +174,8 @@
 	id         reducer.CallID    // of a delivered response
 	response   *traffic.Response // nil if the response is no longer kept
 	failure    reducer.FailCall  // unless the call was postponed or delivered
+	// release ends the attempts of the call and releases the rest of the response. It is nil if there is nothing to end.
+	release context.CancelFunc
 }
 
 // serveCall has a call decided and returns its answer. A nil w means that the call is begun before the requests ahead of
@@ -194,10 +198,14 @@
 		return answer{failure: reducer.FailCall{Outcome: call.RefusalOutcome(), Reason: reducer.ReasonOverloaded}}
 	}
 	ctx, cancel := context.WithCancel(traceCtx)
-	defer cancel()
 	e := &exchange{
 		server: s, w: w, r: r, mailbox: mailbox, ctx: ctx, results: make(chan attemptResult, maxPendingResults),
 		callSpan: span, decisionSpan: decision, waitingSince: time.Now(),
 	}
-	return e.run()
+	a := e.run()
+	if a.response == nil || a.response.Rest == nil {
+		cancel()
+	}
+	a.release = cancel
+	return a
 }
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/rpc"
 	"sync"
 	"time"
@@ -68,7 +69,8 @@
 	c.goroutines.Wait()
 }
 
-// Forward sends a call to its target and waits for the answer. Without an answer the result is ForwardNotSent when
+// Forward sends a call to its target and waits for the answer, and for a response that comes in parts until it is
+// complete or longer than traffic.MaxWholeBodyBytes. Without an answer the result is ForwardNotSent when
 // no byte of the request can have left the node, and ForwardLost otherwise.
 func (c *Client) Forward(ctx context.Context, f reducer.Forward, request *traffic.Request) (reducer.ForwardDone, *traffic.Response) {
 	done := reducer.ForwardDone{Call: f.Call, Attempt: f.Attempt, Result: reducer.ForwardNotSent}
@@ -77,7 +79,8 @@
 		return done, nil
 	}
 	var answer Answer
-	err := c.invoke(ctx, connKey{f.To.Address, classFor(args, request)}, "Peer.Forward", args, &answer)
+	key := connKey{f.To.Address, classFor(args, request)}
+	err := c.invoke(ctx, key, "Peer.Forward", args, &answer)
 	if err != nil {
 		if args.maybeSent.Load() {
 			done.Result = reducer.ForwardLost
@@ -88,7 +91,20 @@
 	done.Outcome, done.Reason, done.Status = reducer.Outcome(answer.Outcome), reducer.Reason(answer.Reason), answer.Status
 	done.Load, done.RetriesUsed = answer.Load.toLoadReport(), answer.RetriesUsed
 	done.Took = time.Duration(answer.Took)
-	return done, answer.toResponse()
+	response := answer.toResponse()
+	if response == nil || !answer.HasRest {
+		return done, response
+	}
+	response.Rest, response.Length = c.newPeerStream(f, key, len(answer.Body)), answer.Length
+	switch err := response.ReadWhole(ctx); {
+	case errors.Is(err, errBrokenOff):
+		done.Outcome, done.Reason, done.Status = reducer.OutcomeUnknown, reducer.ReasonBackendFailed, 0
+		return done, nil
+	case err != nil:
+		done.Result = reducer.ForwardLost
+		return done, nil
+	}
+	return done, response
 }
 
 // Probe pings the peer on the connection that carries a request, and reports whether the peer answered within
--- a/runner/peer/server.go
+++ b/runner/peer/server.go
@@ -61,7 +61,8 @@
 	logLimiter logLimiter
 	handshakes chan struct{} // semaphore for maxHandshakes
 	refusals   chan struct{} // semaphore for maxRefusals
-	calls      inflight      // calls of peers whose answer has not been written
+	calls      inflight      // calls of peers whose answer has not been written, and streams
+	streams    servedStreams
 
 	mu         sync.Mutex
 	conns      map[net.Conn]struct{}
@@ -73,11 +74,13 @@
 	if observer == nil {
 		observer = nopObserver{}
 	}
-	return &Server{
+	s := &Server{
 		self: self, handler: handler, logger: logger, observer: observer, listener: listener,
 		handshakes: make(chan struct{}, maxHandshakes), refusals: make(chan struct{}, maxRefusals),
 		conns: map[net.Conn]struct{}{},
 	}
+	s.streams.onChange = s.calls.add
+	return s
 }
 
 // Serve accepts connections until Close.
@@ -144,6 +147,7 @@
 // Close stops accepting, closes all connections and waits for their goroutines.
 func (s *Server) Close() {
 	s.listener.Close()
+	s.streams.closeAll()
 	s.mu.Lock()
 	for conn := range s.conns {
 		conn.Close()
@@ -183,7 +187,7 @@
 	server := rpc.NewServer()
 	disconnected := make(chan struct{})
 	service := &service{
-		peer: peer.peerRef(), version: s.self.negotiateVersion(peer), handler: s.handler, maxResponseBytes: class.maxResponseBytes(), disconnected: disconnected,
+		peer: peer.peerRef(), version: s.self.negotiateVersion(peer), handler: s.handler, maxResponseBytes: class.maxResponseBytes(), disconnected: disconnected, streams: &s.streams,
 	}
 	if err := server.RegisterName("Peer", service); err != nil {
 		panic(err) // cannot fail: the service has the methods that net/rpc expects
@@ -278,6 +282,7 @@
 	handler          Handler
 	maxResponseBytes int // largest frame of an answer, in bytes without the frame header
 	disconnected     <-chan struct{}
+	streams          *servedStreams
 }
 
 // Forward serves a call that the peer forwards.
@@ -288,6 +293,7 @@
 	reply.Took = int64(answer.Took)
 	reply.Status = answer.Status
 	reply.setResponse(response)
+	s.splitResponse(args, reply, response)
 	reply.truncateTo(s.maxResponseBytes)
 	return nil
 }
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -105,6 +105,7 @@
 	RetriesLeft       int
 	RequestID         string
 	DueIn             int64 // ns until the due time; negative when it has passed, 0 when there is none
+	Streaming         bool  // the sender takes a long response in parts
 
 	Method string
 	URI    string
@@ -131,6 +132,9 @@
 	Header      map[string][]string
 	Body        []byte
 	Truncated   bool
+	// HasRest is set when Body is only the first part of the body. ReadStream returns the others.
+	HasRest bool
+	Length  int64 // of the whole body, or -1 when it is not known; only with HasRest
 }
 
 // SettleArgs is reducer.Settle on the wire: it asks for the outcome of a call.
@@ -153,7 +157,7 @@
 		ID: wireCallID(f.ID), Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority,
 		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: int64(f.KeyRetention), TimeLeft: int64(f.TimeLeft),
 		TargetIncarnation: uint64(f.To.Incarnation), Depth: f.Limits.Depth, RetriesLeft: f.Limits.RetriesLeft,
-		RequestID: f.RequestID, DueIn: int64(f.DueIn),
+		RequestID: f.RequestID, DueIn: int64(f.DueIn), Streaming: f.Streaming,
 		Method: request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
 	}
 }
@@ -163,7 +167,7 @@
 		Call: call, ID: a.ID.toCallID(), Attempt: a.Attempt, Route: a.Route, Pool: a.Pool, Priority: a.Priority,
 		Idempotent: a.Idempotent, Key: a.Key, KeyRetention: time.Duration(a.KeyRetention),
 		TimeLeft: time.Duration(a.TimeLeft), TargetIncarnation: reducer.Incarnation(a.TargetIncarnation),
-		RequestID: a.RequestID, DueIn: time.Duration(a.DueIn), BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
+		RequestID: a.RequestID, DueIn: time.Duration(a.DueIn), Streaming: a.Streaming, BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
 	}
 }
 
--- a/runner/traffic/traffic.go
+++ b/runner/traffic/traffic.go
@@ -3,7 +3,10 @@
 package traffic
 
 import (
+	"context"
+	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -19,12 +22,67 @@
 	Body   []byte
 }
 
-// Response is a backend server's response, with its complete body unless Truncated is set.
+// Response is a backend server's response, with its complete body unless Truncated or Rest is set.
 type Response struct {
 	Status    int
 	Header    http.Header
 	Body      []byte
 	Truncated bool // the body is missing because it was too long to keep for later copies of the call
+	// Rest supplies the bytes of the body that follow Body; nil if Body is complete. Whoever takes over the response
+	// must close it.
+	Rest BodyStream
+	// Length is the length of the whole body, or -1 if it is not known. It is set only together with Rest.
+	Length int64
+}
+
+// BodyStream supplies the rest of a response body while it is passed on. Only one goroutine may call Next.
+type BodyStream interface {
+	// Next returns the next bytes of the body, at least one, which are valid until the next call. It returns io.EOF after
+	// the last byte. Any other error means that the body broke off: what was passed on must not look complete.
+	Next(ctx context.Context) ([]byte, error)
+	// Close ends the request to the backend server, unless the body is complete, and releases the stream.
+	Close()
+	// Ended is closed when the backend server no longer works on the request.
+	Ended() <-chan struct{}
+}
+
+// Parts of a response body in bytes.
+const (
+	// MaxWholeBodyBytes is the longest body of a streaming route that is delivered as a whole. Until its first byte has
+	// left, a response that breaks off can be replaced by that of another attempt.
+	MaxWholeBodyBytes = 768 << 10
+	// PartBytes is the size of the parts in which a longer body, or one between nodes, is moved. At 10 Mbit/s a part
+	// takes 52 ms, after which other responses on the same connection have their turn.
+	PartBytes = 64 << 10
+)
+
+// ReadWhole moves parts from Rest to Body until the body is complete or longer than MaxWholeBodyBytes. On an error it
+// closes Rest.
+func (r *Response) ReadWhole(ctx context.Context) error {
+	if r.Rest != nil && r.Length > int64(len(r.Body)) {
+		r.Body = slices.Grow(r.Body, int(min(r.Length, MaxWholeBodyBytes+2*PartBytes))-len(r.Body))
+	}
+	for r.Rest != nil && len(r.Body) <= MaxWholeBodyBytes {
+		part, err := r.Rest.Next(ctx)
+		if err == io.EOF {
+			r.Rest.Close()
+			r.Rest = nil
+			return nil
+		}
+		if err != nil {
+			r.Rest.Close()
+			return err
+		}
+		r.Body = append(r.Body, part...)
+	}
+	return nil
+}
+
+// Discard releases a response that nobody takes over. It does nothing for nil.
+func (r *Response) Discard() {
+	if r != nil && r.Rest != nil {
+		r.Rest.Close()
+	}
 }
 
 // mailboxSize is the capacity of a mailbox. At most three effects of a call are pending at once: a request, its
