--- a/node/runtime.go
+++ b/node/runtime.go
@@ -35,9 +35,17 @@
 		return
 	}
 	if s.MemoryBytes == 0 {
-		heapBallast = make([]byte, maxBallastBytes)
+		setBallast(maxBallastBytes)
 		return
 	}
-	heapBallast = make([]byte, min(maxBallastBytes, s.MemoryBytes/ballastDivisor))
+	setBallast(min(maxBallastBytes, s.MemoryBytes/ballastDivisor))
 	debug.SetMemoryLimit(s.MemoryBytes * memoryLimitPercent / 100)
 }
+
+// setBallast allocates the ballast, unless it has the size already. A ballast that is allocated later, when settings are
+// reloaded, may take physical memory: the runtime clears memory that it has used before.
+func setBallast(size int64) {
+	if int64(len(heapBallast)) != size {
+		heapBallast = make([]byte, size)
+	}
+}
--- a/node/runtime_test.go
+++ b/node/runtime_test.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"bytes"
 	"os"
+	"os/exec"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -13,6 +15,9 @@
 
 const testProcessors = 2
 
+// freshProcess is set in the environment of a process that runs one test only.
+const freshProcess = "ROSEMARYHATCH_TEST_FRESH_PROCESS"
+
 // residentBytes returns the resident set size of the process in bytes.
 func residentBytes(t *testing.T) int {
 	t.Helper()
@@ -29,7 +34,18 @@
 
 // Guards against overriding GOMAXPROCS and GOGC of the environment, against a ballast that does not delay garbage
 // collection, and against a ballast that takes physical memory, of which a node may use 256 MB.
+//
+// It runs in a process of its own: memory that other tests have used is cleared when it is allocated again, and then counts
+// as physical.
 func TestTuneRuntime(t *testing.T) {
+	if os.Getenv(freshProcess) == "" {
+		command := exec.Command(os.Args[0], "-test.run=^TestTuneRuntime$", "-test.v")
+		command.Env = append(os.Environ(), freshProcess+"=1")
+		if output, err := command.CombinedOutput(); err != nil || !bytes.Contains(output, []byte("PASS: TestTuneRuntime")) {
+			t.Fatalf("%v\n%s", err, output)
+		}
+		return
+	}
 	originalMaxProcs := runtime.GOMAXPROCS(testProcessors + 1)
 	defer func() {
 		runtime.GOMAXPROCS(originalMaxProcs)
@@ -59,4 +75,9 @@
 	if growth := residentBytes(t) - initial; growth > maxBallastBytes/4 {
 		t.Errorf("the ballast takes %d bytes of physical memory", growth)
 	}
+	first := &heapBallast[0]
+	TuneRuntime(settings.Runtime{Processors: testProcessors})
+	if &heapBallast[0] != first {
+		t.Error("reloaded settings of the same size allocate the ballast again")
+	}
 }
--- a/operator/nodestatus/status.go
+++ b/operator/nodestatus/status.go
@@ -25,11 +25,13 @@
 	Rejected     Rejected `json:"rejected_versions"`
 	// UnsupportedRoutes are the routes of the active version whose requests the node refuses.
 	UnsupportedRoutes []UnsupportedRoute `json:"unsupported_routes,omitempty"`
-	Backend           Upstream           `json:"backend"`
-	Load              Load               `json:"load"`
-	Calls             int                `json:"calls"`
-	Records           int                `json:"records"`
-	Members           []Member           `json:"members"`
+	// InvalidEntries are the entries in the platform's store that the node leaves out.
+	InvalidEntries []InvalidEntry `json:"invalid_entries,omitempty"`
+	Backend        Upstream       `json:"backend"`
+	Load           Load           `json:"load"`
+	Calls          int            `json:"calls"`
+	Records        int            `json:"records"`
+	Members        []Member       `json:"members"`
 }
 
 // Version identifies a version of the tables.
@@ -38,6 +40,12 @@
 	Hash   string `json:"hash"`
 }
 
+// InvalidEntry is an entry in the platform's store that the node leaves out.
+type InvalidEntry struct {
+	Key     string `json:"key"`
+	Problem string `json:"problem"`
+}
+
 // UnsupportedRoute is a route that the node's release cannot serve.
 type UnsupportedRoute struct {
 	Name    string `json:"name"`
@@ -119,6 +127,9 @@
 	for _, route := range s.Unsupported {
 		out.UnsupportedRoutes = append(out.UnsupportedRoutes, UnsupportedRoute{Name: route.Name, Problem: route.Unsupported})
 	}
+	for _, entry := range s.InvalidEntries {
+		out.InvalidEntries = append(out.InvalidEntries, InvalidEntry(entry))
+	}
 	for _, m := range s.Members {
 		out.Members = append(out.Members, Member{
 			Node: string(m.Node), Zone: m.Zone, State: m.State.String(), Address: m.Address, Operator: m.Operator,
--- a/operator/output.go
+++ b/operator/output.go
@@ -135,6 +135,9 @@
 			for _, route := range answer.Status.UnsupportedRoutes {
 				fmt.Fprintf(w, "%s: refuses requests on route %s: %s\n", answer.Address, route.Name, route.Problem)
 			}
+			for _, entry := range answer.Status.InvalidEntries {
+				fmt.Fprintf(w, "%s: leaves out the entry %q in the store: %s\n", answer.Address, entry.Key, entry.Problem)
+			}
 		}
 	})
 }
--- a/reducer/discovery.go
+++ b/reducer/discovery.go
@@ -1,6 +1,9 @@
 package reducer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Intervals and limits of the node entries in the platform's store, by which nodes find each other.
 const (
@@ -35,6 +38,22 @@
 	listRequested     bool         // the entries were listed ahead of the first announcement
 	awaitsList        bool         // the first announcement waits for that listing
 	unanswered        bool         // the last call was not answered
+
+	invalidEntries []InvalidEntry // left out of the last listing, at most maxInvalidEntries
+}
+
+// maxInvalidEntries is the maximum number of invalid entries that are logged and shown.
+const maxInvalidEntries = 32
+
+// noteInvalidEntries logs entries that were left out of a listing and were not in the one before.
+func (s *State) noteInvalidEntries(invalid []InvalidEntry) {
+	invalid = invalid[:min(len(invalid), maxInvalidEntries)]
+	for _, entry := range invalid {
+		if !slices.Contains(s.platform.invalidEntries, entry) {
+			s.log(LevelWarn, "entry in the store is left out", Field{"key", entry.Key}, Field{"problem", entry.Problem})
+		}
+	}
+	s.platform.invalidEntries = invalid
 }
 
 // noteStoreAnswer notes whether a call to the store was answered, and logs when the store is lost or regained. It then
@@ -150,6 +169,7 @@
 	}
 	p.listCall.recordSuccess()
 	p.listed = true
+	s.noteInvalidEntries(in.Invalid)
 	s.joinListedNodes(in.Nodes)
 	next := listInterval
 	if s.members.livePeers == 0 {
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -257,8 +257,15 @@
 
 // NodesListed reports the result of a ListNodes effect.
 type NodesListed struct {
-	Result StoreResult
-	Nodes  []NodeEntry
+	Result  StoreResult
+	Nodes   []NodeEntry
+	Invalid []InvalidEntry // entries that are left out
+}
+
+// InvalidEntry is an entry in the store that cannot be used, such as one of another writer.
+type InvalidEntry struct {
+	Key     string
+	Problem string
 }
 
 // NodeEntry is the entry that a node writes into the platform's store so that other nodes can reach it.
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -17,11 +17,13 @@
 	Refusals   ConfigRefusals
 	// Unsupported holds the routes of the active version whose requests are refused. It must not be modified.
 	Unsupported []tables.Route
-	Members     []Member
-	Backend     Upstream
-	Load        LoadReport
-	Calls       int // calls that entered at this node and have no response yet
-	Records     int // execution records
+	// InvalidEntries are the entries in the store that are left out.
+	InvalidEntries []InvalidEntry
+	Members        []Member
+	Backend        Upstream
+	Load           LoadReport
+	Calls          int // calls that entered at this node and have no response yet
+	Records        int // execution records
 }
 
 func (s *State) status() Status {
@@ -31,8 +33,9 @@
 		Leaving: s.shutdown.phase != phaseServing,
 		Version: s.config.active.ID(), VersionAge: s.now - s.config.activeSince,
 		Refusals: s.config.refusals, Unsupported: s.config.active.UnsupportedRoutes(),
-		Members: append([]Member(nil), s.members.sorted()...),
-		Backend: s.members.table[s.cfg.Self].Upstream,
-		Load:    s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
+		InvalidEntries: s.platform.invalidEntries,
+		Members:        append([]Member(nil), s.members.sorted()...),
+		Backend:        s.members.table[s.cfg.Self].Upstream,
+		Load:           s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
 	}
 }
--- a/runner/backend/register.go
+++ b/runner/backend/register.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
@@ -121,13 +121,13 @@
 
 // validate returns an error that names the first invalid field.
 func (r Registration) validate(expected Expected) error {
-	host, _, err := net.SplitHostPort(r.Address)
+	address, err := netip.ParseAddrPort(r.Address)
 	switch {
 	case r.Service == "" || len(r.Service) > maxServiceNameBytes:
 		return fmt.Errorf("service is %q, expected a name of 1 to %d bytes", r.Service, maxServiceNameBytes)
 	case expected.Service != "" && r.Service != expected.Service:
 		return fmt.Errorf("service is %q, expected %q", r.Service, expected.Service)
-	case err != nil || net.ParseIP(host) == nil:
+	case err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast():
 		return fmt.Errorf("address is %q, expected IP:port", r.Address)
 	case expected.Address != "" && r.Address != expected.Address:
 		return fmt.Errorf("address is %q, expected %q", r.Address, expected.Address)
--- a/runner/peer/wire_members.go
+++ b/runner/peer/wire_members.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
@@ -65,6 +66,43 @@
 	return true
 }
 
+const (
+	// maxNameBytes is the longest name of a node, a zone or a service.
+	maxNameBytes = 200
+	// maxSlots is far above the slots of any backend server.
+	maxSlots = 1 << 20
+	// maxAgeMillis is far above the time for which members that have left are remembered.
+	maxAgeMillis = int64(10 * 365 * 24 * time.Hour / time.Millisecond)
+	// maxSequence leaves a node room to exceed the sequence of an entry about it, so that it can refute the entry.
+	maxSequence = 1 << 62
+)
+
+// isValid reports whether a node can have sent an entry: its numbers are in their ranges. One that is not is left out,
+// and the others are followed.
+func (t *MemberTable) isValid(i int) bool {
+	state, upstream := reducer.MemberState(t.State[i]), reducer.UpstreamState(t.Upstream[i])
+	switch {
+	case t.Node[i] == "", len(t.Node[i]) > maxNameBytes, len(t.Zone[i]) > maxNameBytes, len(t.Service[i]) > maxNameBytes:
+		return false
+	case state < reducer.MemberAlive, state > reducer.MemberLeft, upstream > reducer.UpstreamDown:
+		return false
+	case t.Slots[i] < 0, t.Slots[i] > maxSlots, upstream == reducer.UpstreamReady && t.Slots[i] == 0:
+		return false
+	case t.Sequence[i] > maxSequence, t.AgeMillis[i] < 0, t.AgeMillis[i] > maxAgeMillis:
+		return false
+	}
+	return isPeerAddress(t.Address[i])
+}
+
+// isPeerAddress reports whether an address is empty or IP:port. An entry that was learned from a hello has none.
+func isPeerAddress(address string) bool {
+	if address == "" {
+		return true
+	}
+	parsed, err := netip.ParseAddrPort(address)
+	return err == nil && !parsed.Addr().IsMulticast()
+}
+
 // toMembers returns the entries, or nil when the slices differ in length.
 func (t *MemberTable) toMembers() []reducer.Member {
 	if !t.hasEqualLengths() {
@@ -72,6 +110,9 @@
 	}
 	out := make([]reducer.Member, 0, len(t.Node))
 	for i := range t.Node {
+		if !t.isValid(i) {
+			continue
+		}
 		out = append(out, reducer.Member{
 			Node: reducer.NodeID(t.Node[i]), Zone: t.Zone[i], Address: t.Address[i], Operator: t.Operator[i],
 			Incarnation: reducer.Incarnation(t.Incarnation[i]), Sequence: t.Sequence[i], State: reducer.MemberState(t.State[i]),
--- a/runner/peer/wire_members_test.go
+++ b/runner/peer/wire_members_test.go
@@ -5,9 +5,11 @@
 	"encoding/gob"
 	"errors"
 	"fmt"
+	"math"
 	"net/rpc"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -58,6 +60,38 @@
 	}
 }
 
+// Guards against one odd entry in a peer's update that hides all others, that cannot be dialled, or that its node can never
+// refute.
+func TestOddMemberHidesNoOther(t *testing.T) {
+	for name, spoil := range map[string]func(*reducer.Member){
+		"port too large":       func(m *reducer.Member) { m.Address = "10.0.0.1:65536" },
+		"address is a name":    func(m *reducer.Member) { m.Address = "larvik:7000" },
+		"multicast":            func(m *reducer.Member) { m.Address = "224.0.0.1:7000" },
+		"no node":              func(m *reducer.Member) { m.Node = "" },
+		"long node":            func(m *reducer.Member) { m.Node = reducer.NodeID(strings.Repeat("n", 1000)) },
+		"unknown state":        func(m *reducer.Member) { m.State = 200 },
+		"no state":             func(m *reducer.Member) { m.State = 0 },
+		"unknown upstream":     func(m *reducer.Member) { m.Upstream.State = 99 },
+		"negative slots":       func(m *reducer.Member) { m.Upstream.Slots = -1 },
+		"ready without a slot": func(m *reducer.Member) { m.Upstream.Slots = 0 },
+		"slots too large":      func(m *reducer.Member) { m.Upstream.Slots = math.MaxInt },
+		"sequence at its end":  func(m *reducer.Member) { m.Sequence = math.MaxUint64 },
+		"age of the future":    func(m *reducer.Member) { m.Age = -time.Hour },
+	} {
+		update := fullScaleMembers(3)
+		spoil(&update.Members[1])
+		message, err := wireControl(update).toMessage()
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		got := message.(reducer.MemberUpdate).Members
+		if len(got) != 2 || got[0].Node != "larvik-000" || got[1].Node != "larvik-002" {
+			t.Errorf("%s: members %+v, expected the two others", name, got)
+		}
+	}
+}
+
 // Guards against control traffic of an idle node over 16 KB/s, and against a member table over the frame bound, at the
 // target size (docs/design.md, section 1.3).
 func TestControlBytesAtTargetSize(t *testing.T) {
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -5,6 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
 	"strconv"
 	"sync"
 	"time"
@@ -120,6 +123,10 @@
 // readResult returns the event that reports an entry: absent, malformed or a document.
 func (r *Runner) readResult(entry platform.Entry) reducer.StoreRead {
 	read := reducer.StoreRead{Result: reducer.StoreAbsent, Revision: entry.StoreRevision}
+	if entry.Problem != "" {
+		read.Result, read.Problem = reducer.StoreMalformed, entry.Problem
+		return read
+	}
 	if entry.Revision == 0 {
 		return read
 	}
@@ -166,19 +173,46 @@
 	return reducer.DeregistrationRead{Instance: e.Instance, At: at, Result: errorResult(err)}
 }
 
-// listNodes reads the entries of all nodes. It skips entries that cannot be decoded or lack a node or an address.
+// listNodes reads the entries of all nodes. Entries that no node can have written are listed apart.
 func (r *Runner) listNodes(ctx context.Context) reducer.Input {
 	entries, err := r.store.List(ctx, platform.KeyNodePrefix)
 	listed := reducer.NodesListed{Result: errorResult(err)}
 	for _, entry := range entries {
-		var node reducer.NodeEntry
-		if json.Unmarshal(entry.Value, &node) == nil && node.Node != "" && node.Address != "" {
-			listed.Nodes = append(listed.Nodes, node)
+		node, err := decodeNodeEntry(entry)
+		if err != nil {
+			listed.Invalid = append(listed.Invalid, reducer.InvalidEntry{Key: entry.Key, Problem: err.Error()})
+			continue
 		}
+		listed.Nodes = append(listed.Nodes, node)
 	}
 	return listed
 }
 
+// maxNameBytes is the longest name of a node or a zone in an entry. The store's keys are at most 200 bytes long.
+const maxNameBytes = 200
+
+// decodeNodeEntry decodes and checks the entry of a node. The error names the field and what was expected.
+func decodeNodeEntry(entry platform.Entry) (reducer.NodeEntry, error) {
+	if entry.Problem != "" {
+		return reducer.NodeEntry{}, errors.New(entry.Problem)
+	}
+	var node reducer.NodeEntry
+	if err := json.Unmarshal(entry.Value, &node); err != nil {
+		return reducer.NodeEntry{}, fmt.Errorf("value is not an entry of a node: %w", err)
+	}
+	if entry.Key != platform.KeyNodePrefix+string(node.Node) || node.Node == "" {
+		return reducer.NodeEntry{}, fmt.Errorf("node is %.*q, expected the end of the key", maxNameBytes, node.Node)
+	}
+	if len(node.Zone) > maxNameBytes {
+		return reducer.NodeEntry{}, fmt.Errorf("zone is longer than %d bytes", maxNameBytes)
+	}
+	address, err := netip.ParseAddrPort(node.Address)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() || address.Addr().IsMulticast() {
+		return reducer.NodeEntry{}, fmt.Errorf("address is %.*q, expected IP:port of a node", maxNameBytes, node.Address)
+	}
+	return node, nil
+}
+
 func errorResult(err error) reducer.StoreResult {
 	if err != nil {
 		return reducer.StoreUnknown
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,6 +118,51 @@
 	}
 }
 
+// Guards against an entry of another writer that is joined as a node, or that is left out without a trace.
+func TestEntriesOfOtherWritersAreLeftOut(t *testing.T) {
+	f := newFixture(t)
+	good := reducer.NodeEntry{Node: "n1", Zone: "Hella", Address: "127.0.0.1:7380"}
+	f.server.OperatorPut(platform.KeyNodePrefix+"n1", []byte(`{"node":"n1","zone":"Hella","address":"127.0.0.1:7380","later_field":[1]}`))
+	odd := map[string]string{
+		"p0": `{"node":"p0","address":"127.0.0.1:0"}`, "p65536": `{"node":"p65536","address":"127.0.0.1:65536"}`,
+		"minus": `{"node":"minus","address":"127.0.0.1:-1"}`, "name": `{"node":"name","address":"localhost:80"}`, "empty": `{"node":"empty","address":""}`,
+		"group": `{"node":"group","address":"224.0.0.1:80"}`, "any": `{"node":"any","address":"0.0.0.0:80"}`, "other": `{"node":"n1","address":"127.0.0.1:81"}`,
+		"type": `{"node":["type"],"address":"127.0.0.1:82"}`, "number": `{"node":"number","address":1e999}`, "text": `"text"`, "null": `null`,
+		"nested": strings.Repeat("[", 100000), "nested2": `{"node":` + strings.Repeat(`{"node":`, 20000),
+		"zone": `{"node":"zone","zone":"` + strings.Repeat("z", 1000) + `","address":"127.0.0.1:83"}`, "odd\x00\xff": `{`,
+	}
+	for key, value := range odd {
+		f.server.OperatorPut(platform.KeyNodePrefix+key, []byte(value))
+	}
+	listed := f.perform(t, reducer.ListNodes{}).(reducer.NodesListed)
+	if listed.Result != reducer.StoreOK || len(listed.Nodes) != 1 || listed.Nodes[0] != good {
+		t.Errorf("listed %+v, expected one node", listed.Nodes)
+	}
+	if len(listed.Invalid) != len(odd) {
+		t.Errorf("%d entries are left out, expected %d", len(listed.Invalid), len(odd))
+	}
+	for _, entry := range listed.Invalid {
+		if entry.Problem == "" || len(entry.Problem) > 2000 {
+			t.Errorf("entry %q: problem %q", entry.Key, entry.Problem)
+		}
+	}
+}
+
+// Guards against a decoder of entries that ends the process or accepts an address that cannot be dialled.
+func FuzzNodeEntry(f *testing.F) {
+	f.Add("n1", []byte(`{"node":"n1","zone":"Hella","address":"127.0.0.1:7380"}`))
+	f.Add("n1", []byte(`{"node":"n1","address":"[::1%eth0]:65536"}`))
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		node, err := decodeNodeEntry(platform.Entry{Key: platform.KeyNodePrefix + key, Value: value})
+		if err != nil {
+			return
+		}
+		if _, err := net.ResolveTCPAddr("tcp", node.Address); err != nil || string(node.Node) != key {
+			t.Errorf("%s is accepted as %+v: %v", value, node, err)
+		}
+	})
+}
+
 // Guards against a deregistration that the store rejects, so that a restarted node does not learn of it. This happened
 // when the value was null instead of text.
 func TestDeregistrationIsStored(t *testing.T) {
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -24,6 +24,7 @@
 	familyAge          = "rosemaryhatch_config_age_seconds"
 	familyRejected     = "rosemaryhatch_config_rejected"
 	familyUnsupported  = "rosemaryhatch_config_unsupported_routes"
+	familyInvalid      = "rosemaryhatch_platform_invalid_entries"
 	familyMembers      = "rosemaryhatch_members"
 	familyPeerBytes    = "rosemaryhatch_peer_bytes_total"
 	familyMessageBytes = "rosemaryhatch_peer_message_bytes_total"
@@ -212,6 +213,7 @@
 		gauge := m.gauge("%s{state=%q}", familyMembers, member.State)
 		gauge.Update(gauge.Value() + 1)
 	}
+	m.gauge(familyInvalid).Update(int64(len(status.InvalidEntries)))
 	m.gauge(familyUnsupported).Update(int64(len(status.Unsupported)))
 	m.gauge("%s{kind=%q}", familyRejected, "older").Update(int64(status.Refusals.Older))
 	m.gauge("%s{kind=%q}", familyRejected, "conflicting").Update(int64(status.Refusals.Conflicting))
