reducer: draw the pools of a split evenly

Cause: pools were drawn at random, so that a share over 300 requests was off by 3 in 100 (one standard deviation at 50:50). Change: each node draws from a golden-ratio sequence from a random start, anew with each version. What does not fit a pool is refused, as before.

--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -82,6 +82,7 @@
 	reservedBytes int64 // bytes counted against Limits.MaxBodyBytes
 	seq           uint64
 	budget        retryBudget
+	splits        splitState
 }
 
 func (g *ingressState) init() {
@@ -141,26 +142,11 @@
 	}
 	chosen := *route
 	if len(route.Split) > 0 {
-		chosen.Pool = s.pickPool(route.Split)
+		chosen.Pool = s.pickPool(route)
 	}
 	return chosen, ReasonNone
 }
 
-// pickPool selects a pool of a traffic split at random, by weight.
-func (s *State) pickPool(split []tables.WeightedPool) string {
-	sum := 0
-	for _, share := range split {
-		sum += share.Weight
-	}
-	draw := s.random(sum)
-	for _, share := range split {
-		if draw -= share.Weight; draw < 0 {
-			return share.Pool
-		}
-	}
-	panic("reducer: traffic split has no weights")
-}
-
 // bytesToReserve returns the bytes to reserve for a request body; one of unknown length, given as negative, may reach
 // the limit of the route.
 func bytesToReserve(declared int64, route *tables.Route) int64 {
