reducer, runner/store: fewer watches of the store

Change: only the first reader of a zone watches again at once after a version, the others once a second; a watch waits 25 s; where three zones or more reach each other, two nodes of a zone read instead of three. Ruled out: leaving out the read of a deregistration at a start, since clocks may step between the start of a backend server and that of its node. TestQuickChangesNeedFewWatches counted 51 watches before, at most 38 allowed.

--- a/reducer/config_reader.go
+++ b/reducer/config_reader.go
@@ -8,14 +8,18 @@
 	// minStoreBackoff and maxStoreBackoff limit the wait after a failed call.
 	minStoreBackoff = 250 * time.Millisecond
 	maxStoreBackoff = time.Second // leases that expire in an outage must be restored within 2 s after it
-	// watchInterval limits the mean rate of watches, because a platform may answer a watch without waiting. Up to
-	// watchBurst watches that return a new revision may follow each other at once, so that changes in quick succession
-	// are not delayed.
+	// watchInterval limits the mean rate of watches, because a platform may answer a watch without waiting. At the first
+	// reader of a zone up to watchBurst watches that return a new revision may follow each other at once, so that changes
+	// in quick succession are not delayed. The other readers get these changes from the first one; if that fails they
+	// see a change after at most watchInterval.
 	watchInterval = time.Second
 	watchBurst    = 10
-	// readersPerZone limits the nodes that watch the store. One working reader in any zone is enough for a version to
-	// become active in time, because peers relay it; three tolerate that one is cut off and another is paused.
-	readersPerZone = 3
+	// readersPerZone limits the nodes of a zone that watch the store. One working reader in any zone is enough for a
+	// version to become active in time, because peers relay it; three tolerate that one is cut off and another is paused.
+	// With manyZones or more in reach the other zones have readers too, and a second one in each zone is for a partition.
+	readersPerZone    = 3
+	readersAmongZones = 2
+	manyZones         = 3
 	// readerCheckInterval is how often a node checks whether it is a reader of its zone.
 	readerCheckInterval = time.Second
 	// startupReadJitter spreads the first reads of nodes that start together.
@@ -49,20 +53,37 @@
 	return call.backoff/2 + s.jitter(call.backoff/2)
 }
 
-// isReader reports whether this node watches the tables for its zone: one of its first readersPerZone live nodes. Nodes
-// need not agree on them, because additional readers do no harm.
-func (s *State) isReader() bool {
+// isReader reports whether this node watches the tables for its zone: one of its first live nodes. Nodes need not agree
+// on them, because additional readers do no harm.
+func (s *State) isReader() bool { return s.readerRank() < s.readersOfZone() }
+
+// readersOfZone returns how many nodes of this zone watch the store. In a partition that leaves few zones it grows.
+func (s *State) readersOfZone() int {
+	reachable := 1
+	for name, zone := range s.members.detector.zones {
+		if name != s.cfg.Zone && !zone.lost {
+			reachable++
+		}
+	}
+	if reachable >= manyZones {
+		return readersAmongZones
+	}
+	return readersPerZone
+}
+
+// readerRank returns the number of live nodes of this zone that come before this node, at most readersPerZone.
+func (s *State) readerRank() int {
 	before := 0
 	for _, m := range s.members.sorted() {
 		if m.Zone != s.cfg.Zone || m.State != MemberAlive {
 			continue
 		}
-		if m.Node == s.cfg.Self {
-			return before < readersPerZone
+		if m.Node == s.cfg.Self || before == readersPerZone {
+			return before
 		}
 		before++
 	}
-	return false
+	return readersPerZone
 }
 
 // checkReader starts to read or watch if this node has become a reader.
@@ -110,7 +131,7 @@
 // revision.
 func (s *State) nextWatchTime(newRevision bool) time.Duration {
 	at := s.config.reader.watchTAT
-	if newRevision {
+	if newRevision && s.readerRank() == 0 {
 		at -= (watchBurst - 1) * watchInterval
 	}
 	return max(s.now, at)
--- a/reducer/config_test.go
+++ b/reducer/config_test.go
@@ -189,6 +189,95 @@
 	}
 }
 
+// TestQuickChangesNeedFewWatches guards against a storm of versions in which each change costs a call of every reader, and
+// against a version that is late because the first reader of the zone is cut off from the store.
+func TestQuickChangesNeedFewWatches(t *testing.T) {
+	const (
+		changes  = 20
+		interval = 300 * time.Millisecond
+		bound    = 2 * time.Second // config-apply-ms of the users' smallest sites
+	)
+	t.Log("seed", simSeed)
+	m := newSim()
+	for i := range 6 {
+		m.start(fmt.Sprint("n", i), "n0")
+	}
+	m.put(1, "")
+	m.run(30 * time.Second)
+	m.store.callKinds = nil
+	for version := range uint64(changes) {
+		m.put(2+version, "")
+		m.run(interval)
+	}
+	m.run(bound)
+	watches := 0
+	for _, kind := range m.store.callKinds {
+		if kind == "WatchStore" {
+			watches++
+		}
+	}
+	elapsed := changes*interval + bound
+	if most := changes + (readersPerZone-1)*(int(elapsed/watchInterval)+1); watches > most {
+		t.Errorf("%d watches for %d changes in %v, expected at most %d", watches, changes, elapsed, most)
+	}
+	for id, node := range m.nodes {
+		if got := node.config.active.ID().Number; got != 1+changes {
+			t.Errorf("%s has version %d, expected %d within %v", id, got, 1+changes, bound)
+		}
+	}
+	delete(m.store.watches, "n0") // its watch gets no answer any more
+	m.put(100, "")
+	m.run(bound)
+	for id, node := range m.nodes {
+		if got := node.config.active.ID().Number; got != 100 {
+			t.Errorf("first reader cut off: %s has version %d, expected 100 within %v", id, got, bound)
+		}
+	}
+}
+
+// TestFewerReadersAmongZones guards against readers whose number grows with the zones, and against a zone that is alone in a
+// partition with fewer readers than it needs.
+func TestFewerReadersAmongZones(t *testing.T) {
+	t.Log("seed", simSeed)
+	m := newSim()
+	for zone := range 4 {
+		for i := range 5 {
+			m.startIn(fmt.Sprint("z", zone), fmt.Sprintf("z%d-%d", zone, i), "z0-0")
+		}
+	}
+	m.put(1, "")
+	m.run(30 * time.Second)
+	readers := func(zone string) (n int) {
+		for _, node := range m.nodes {
+			if node.cfg.Zone == zone && node.isReader() {
+				n++
+			}
+		}
+		return n
+	}
+	for zone := range 4 {
+		if n := readers(fmt.Sprint("z", zone)); n != readersAmongZones {
+			t.Errorf("zone %d has %d readers, expected %d", zone, n, readersAmongZones)
+		}
+	}
+	for id := range m.nodes {
+		if m.nodes[id].cfg.Zone != "z0" {
+			m.unreachable[id] = true
+		}
+	}
+	m.run(2 * zoneSilenceLimit)
+	if n := readers("z0"); n != readersPerZone {
+		t.Errorf("a zone that is alone has %d readers, expected %d", n, readersPerZone)
+	}
+	m.put(2, "")
+	m.run(2 * time.Second)
+	for id, node := range m.nodes {
+		if node.cfg.Zone == "z0" && node.config.active.ID().Number != 2 {
+			t.Errorf("%s has version %d in the partition, expected 2", id, node.config.active.ID().Number)
+		}
+	}
+}
+
 // TestRestartOfZoneSendsFewDocuments guards against the document being sent over every link when most nodes of a zone
 // restart at the same time. A node may receive it from the first peers that it asks and from one more whose heartbeat
 // announces the version (docs/design.md, section 4.3).
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -18,8 +18,9 @@
 
 const (
 	callTimeout = time.Second
-	// watchWait is how long the platform is asked to wait for a change before it answers a watch.
-	watchWait = 10 * time.Second
+	// watchWait is how long the platform is asked to wait for a change before it answers a watch. The platform allows 30 s;
+	// a connection that went silent meanwhile is found by TCP keepalive.
+	watchWait = 25 * time.Second
 	// watchMargin is the time beyond watchWait after which a watch without a response times out.
 	watchMargin = 2 * time.Second
 )
