reducer: one call at a time to a store that does not answer

Cause: after a failed watch a reader read and watched side by side, each with a backoff of its own. Change: a failed watch is followed by a read only; a successful read starts the next watch.

--- a/reducer/config_reader.go
+++ b/reducer/config_reader.go
@@ -161,10 +161,11 @@
 		call.recordSuccess()
 		s.timers.set(timerKey{kind: timerStoreRead}, s.now)
 	default:
-		s.timers.set(timer, s.now+s.recordFailure(call))
-		if in.Watch { // a change may have been missed while the watch failed
-			s.timers.set(timerKey{kind: timerStoreRead}, s.now)
+		wait := s.recordFailure(call)
+		if in.Watch { // a change may have been missed while the watch failed; a successful read starts the next watch
+			timer, wait = timerKey{kind: timerStoreRead}, 0
 		}
+		s.timers.set(timer, s.now+wait)
 	}
 }
 
--- a/reducer/config_test.go
+++ b/reducer/config_test.go
@@ -235,6 +235,37 @@
 	}
 }
 
+// TestOneCallAtATimeInAnOutage guards against a reader that reads and watches side by side while the store does not answer,
+// and against one that does not watch again afterwards.
+func TestOneCallAtATimeInAnOutage(t *testing.T) {
+	const outage = 30 * time.Second
+	t.Log("seed", simSeed)
+	m := newSim()
+	m.start("n0")
+	m.put(1, "")
+	m.run(30 * time.Second)
+	m.store.down, m.store.callKinds = true, nil
+	m.cutWatches()
+	m.run(outage)
+	calls := 0
+	for _, kind := range m.store.callKinds {
+		if kind == "WatchStore" || kind == "ReadStore" {
+			calls++
+		}
+	}
+	// Each call follows the failure of the one before after at least half of the backoff.
+	if most := int(outage/(maxStoreBackoff/2)) * 3 / 4; calls > most || calls == 0 {
+		t.Errorf("%d reads and watches in an outage of %v, expected at most %d", calls, outage, most)
+	}
+	m.store.down = false
+	m.run(2 * maxStoreBackoff)
+	m.put(2, "")
+	m.run(time.Second)
+	if got := m.nodes["n0"].config.active.ID().Number; got != 2 {
+		t.Errorf("version %d after the outage, expected 2", got)
+	}
+}
+
 // TestFewerReadersAmongZones guards against readers whose number grows with the zones, and against a zone that is alone in a
 // partition with fewer readers than it needs.
 func TestFewerReadersAmongZones(t *testing.T) {
