runner/frontend, backend: skip a late copy of another call's response

Cause: with the system's own headers every complete response was accepted, so that a second copy that a backend server sent late, on a connection in use again, was delivered to the next caller. Change: a response whose Rosemaryhatch-Call-Id names another call is skipped, as on the users' platform one with another Attempt-Id; the stand-in copies it. Result: TestLateCopyNeverAnswersAnotherRequest failed for the own headers at rest and as the next request is due (4 and 5 of 12 requests got the answer of the one before) and passes now; for the platform's headers it passed before.

--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -210,6 +210,7 @@
 // writeResponse echoes the request, or responds with 504 if its execution failed.
 func writeResponse(w http.ResponseWriter, r *http.Request, id string, body []byte, err error) {
 	w.Header().Set(HeaderRequestID, id)
+	w.Header().Set(protocol.HeaderCallID, r.Header.Get(protocol.HeaderCallID)) // lets the node recognise a late copy
 	if err != nil {
 		http.Error(w, "request was not completed: "+err.Error(), http.StatusGatewayTimeout)
 		return
--- a/runner/frontend/native.go
+++ b/runner/frontend/native.go
@@ -88,9 +88,12 @@
 	header[HeaderCallID] = []string{start.ID.String()}
 }
 
-// ResponseMatches implements FrontEnd. These headers do not identify the request that a response belongs to, so every
-// response is accepted.
-func (Native) ResponseMatches(_, _ http.Header, _ int) bool { return true }
+// ResponseMatches implements FrontEnd. A backend server that copies HeaderCallID into its response protects callers from a
+// late copy of a response to another request. A response without it is accepted.
+func (Native) ResponseMatches(request, response http.Header, _ int) bool {
+	id := response.Get(HeaderCallID)
+	return id == "" || id == request.Get(HeaderCallID)
+}
 
 // ClassifyResponse implements FrontEnd.
 func (Native) ClassifyResponse(status int, response http.Header) reducer.BackendResult {
