reducer: call a subset of the upstreams while they are not busy

Cause: with 295 nodes a node spreads 20 calls a second over 37 upstreams of its zone and all others, so that nearly each call of the first half minute opens a connection between nodes (935 us of processor time against 86 us over a kept one, trial benchmark) and load reports are too old to be used. Change: windows of 12 upstreams, shifted evenly over the nodes (decision 0015). Streams end at the deadline of their call, counted from its arrival; bytes read ahead keep a connection busy in a shutdown.

--- a/reducer/choose.go
+++ b/reducer/choose.go
@@ -54,7 +54,8 @@
 // servingUpstream is a member whose backend server takes new calls, with what this node has observed of it.
 type servingUpstream struct {
 	Member
-	load *upstreamLoad
+	load      *upstreamLoad
+	preferred bool // see markSubset
 }
 
 // choiceState holds an index of the serving upstreams, and lists that are reused for each choice: lists made for each
@@ -63,6 +64,7 @@
 	serving map[string][]*servingUpstream // by service; an entry is deleted when a member of the service changes
 	usable  []*servingUpstream
 	groups  [distanceGroups][]*servingUpstream
+	subset  []*servingUpstream
 	ranking []Member
 	weights []weightedUpstream
 }
@@ -84,10 +86,11 @@
 		serves := m.serves(service)
 		load.updateServing(m, serves, s.now)
 		if serves {
-			upstreams = append(upstreams, servingUpstream{m, load})
+			upstreams = append(upstreams, servingUpstream{Member: m, load: load})
 			serving = append(serving, &upstreams[len(upstreams)-1])
 		}
 	}
+	s.markSubset(serving)
 	choice.serving[service] = serving
 	return serving
 }
@@ -117,7 +120,7 @@
 		if len(group) == 0 {
 			continue
 		}
-		u := s.pickLessLoaded(group, priority, ramp)
+		u := s.pickInGroup(group, priority, ramp)
 		cost := s.penalizedWait(u, priority) + s.spillMargin(u.Zone)
 		if best == nil || cost < lowest {
 			best, lowest = u, cost
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -251,7 +251,7 @@
 	call.limits.RetriesLeft = s.retriesLeft(call)
 	call.sentAt = s.now
 	if call.route.Idempotent {
-		call.expectedDuration = s.estimateDuration(&servingUpstream{target, s.loadOf(target.Node)}, call.route.Priority)
+		call.expectedDuration = s.estimateDuration(&servingUpstream{Member: target, load: s.loadOf(target.Node)}, call.route.Priority)
 	}
 	if target.Node == s.cfg.Self {
 		s.setPhase(call, ingressLocal)
--- a/runner/ingress/readahead.go
+++ b/runner/ingress/readahead.go
@@ -70,7 +70,10 @@
 func (a *readAhead) isIdle() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.scanner.stopped || a.scanner.heads <= a.answered && len(a.scanner.head) == 0 && a.scanner.bodyBytes == 0 && len(a.buffered) == 0
+	if len(a.buffered) > 0 {
+		return false
+	}
+	return a.scanner.stopped || a.scanner.heads <= a.answered && len(a.scanner.head) == 0 && a.scanner.bodyBytes == 0
 }
 
 // take moves buffered bytes to p and returns their number.
--- a/runner/ingress/readahead_test.go
+++ b/runner/ingress/readahead_test.go
@@ -340,3 +340,21 @@
 		}
 	})
 }
+
+// Guards against a shutdown that closes a connection as idle although bytes of a further request were read ahead, when the
+// scanner has stopped at a request that it does not follow.
+func TestBytesReadAheadKeepAConnectionBusy(t *testing.T) {
+	var a readAhead
+	a.observe([]byte(get("/a")))
+	chunked := []byte("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n")
+	a.observe(chunked)
+	a.keep(chunked)
+	a.endRequest()
+	if !a.scanner.stopped || a.isIdle() {
+		t.Errorf("stopped %v, idle %v, expected busy while bytes wait", a.scanner.stopped, a.isIdle())
+	}
+	a.take(make([]byte, len(chunked)))
+	if !a.isIdle() {
+		t.Error("the connection is busy although nothing waits")
+	}
+}
--- a/runner/peer/server.go
+++ b/runner/peer/server.go
@@ -287,13 +287,14 @@
 
 // Forward serves a call that the peer forwards.
 func (s *service) Forward(args *ForwardArgs, reply *Answer) error {
+	deadline := time.Now().Add(time.Duration(args.TimeLeft))
 	answer, response := s.handler.Forward(args.toInput, args.toRequest(), s.disconnected)
 	reply.Outcome, reply.Reason, reply.Load = uint8(answer.Outcome), uint8(answer.Reason), wireLoad(answer.Load)
 	reply.RetriesUsed = answer.RetriesUsed
 	reply.Took = int64(answer.Took)
 	reply.Status = answer.Status
 	reply.setResponse(response)
-	s.splitResponse(args, reply, response)
+	s.splitResponse(args, reply, response, deadline)
 	reply.truncateTo(s.maxResponseBytes)
 	return nil
 }
--- a/runner/peer/stream.go
+++ b/runner/peer/stream.go
@@ -60,8 +60,8 @@
 	cancel   context.CancelFunc
 }
 
-// add registers the rest of a response, for as long as its call has time left. It returns false if there are too many.
-func (s *servedStreams) add(key streamKey, first int64, body []byte, rest traffic.BodyStream, timeLeft time.Duration) bool {
+// add registers the rest of a response until the deadline of its call. It returns false if there are too many.
+func (s *servedStreams) add(key streamKey, first int64, body []byte, rest traffic.BodyStream, deadline time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byCall == nil {
@@ -71,7 +71,7 @@
 		return false
 	}
 	stream := &servedStream{body: body, rest: rest, sent: first}
-	stream.ctx, stream.cancel = context.WithTimeout(context.Background(), timeLeft)
+	stream.ctx, stream.cancel = context.WithDeadline(context.Background(), deadline)
 	context.AfterFunc(stream.ctx, func() { s.remove(key, stream) })
 	s.byCall[key] = stream
 	s.onChange(1)
@@ -156,13 +156,13 @@
 }
 
 // splitResponse keeps the first part of a long response in the answer and registers the rest, if the peer takes parts.
-func (s *service) splitResponse(args *ForwardArgs, reply *Answer, response *traffic.Response) {
+func (s *service) splitResponse(args *ForwardArgs, reply *Answer, response *traffic.Response, deadline time.Time) {
 	if !args.Streaming || response == nil || len(reply.Body) <= traffic.PartBytes && response.Rest == nil {
 		return
 	}
 	first := min(len(reply.Body), traffic.PartBytes)
 	key := streamKey{args.ID.toCallID(), args.Attempt}
-	if !s.streams.add(key, int64(first), reply.Body[first:], response.Rest, time.Duration(args.TimeLeft)) {
+	if !s.streams.add(key, int64(first), reply.Body[first:], response.Rest, deadline) {
 		if response.Rest != nil { // too long to be sent as a whole
 			response.Rest.Close()
 			reply.HasResponse, reply.Body = false, nil
