--- a/runner/backend/stream.go
+++ b/runner/backend/stream.go
@@ -27,8 +27,8 @@
 	closed chan struct{}
 }
 
-// newBodyStream starts to read a body; ctx is that of the request. release is called once with whether the body was read to its end; cancel ends the
-// request, which makes the body's reads fail.
+// newBodyStream starts to read a body; ctx is that of the request. release is called once with whether the body was read to
+// its end; cancel ends the request, which makes the body's reads fail.
 func newBodyStream(ctx context.Context, body io.Reader, cancel context.CancelFunc, release func(complete bool)) *bodyStream {
 	s := &bodyStream{parts: make(chan []byte, streamWindow), cancel: cancel, ended: make(chan struct{}), closed: make(chan struct{})}
 	go func() {
--- a/runner/peer/stream.go
+++ b/runner/peer/stream.go
@@ -209,11 +209,11 @@
 	client *Client
 	key    connKey
 	to     reducer.PeerRef
-	args   StreamArgs
+	args   StreamArgs // of the next part
+	ended  chan struct{}
+	close  sync.Once
 
 	complete bool // the last part has arrived
-	ended    chan struct{}
-	close    sync.Once
 }
 
 func (c *Client) newPeerStream(f reducer.Forward, key connKey, first int) *peerStream {
@@ -248,12 +248,11 @@
 	return part.Data, nil
 }
 
-// Close implements traffic.BodyStream.
+// Close implements traffic.BodyStream. It may be called while Next changes the offset.
 func (s *peerStream) Close() {
 	s.close.Do(func() {
 		close(s.ended)
-		args := s.args
-		s.client.enqueue(outgoingMessage{s.to, "Peer.CloseStream", &args})
+		s.client.enqueue(outgoingMessage{s.to, "Peer.CloseStream", &StreamArgs{ID: s.args.ID, Attempt: s.args.Attempt}})
 	})
 }
 
