--- a/runner/backend/late_test.go
+++ b/runner/backend/late_test.go
@@ -21,7 +21,8 @@
 // of this system.
 func identified(id string) string {
 	body := "answer to " + id
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", id, frontend.HeaderCallID, id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		hosted.HeaderAttempt, id, hosted.HeaderSeal, frontend.HeaderCallID, id, len(body), body)
 }
 
 // Guards against a second copy of a response that arrives late on a kept connection and is taken for the response to the
@@ -54,7 +55,7 @@
 							if err != nil {
 								return
 							}
-							id := request.Header.Get("Attempt-Id")
+							id := request.Header.Get(hosted.HeaderAttempt)
 							if frontName == "native" {
 								id = request.Header.Get(frontend.HeaderCallID)
 							}
@@ -73,7 +74,7 @@
 						id := fmt.Sprint("n1-1-", i)
 						callID, _ := reducer.ParseCallID(id)
 						start := reducer.StartBackendRequest{Call: 1, ID: callID, Timeout: testTimeout, TimeLeft: testTimeout}
-						response, _ := client.Do(context.Background(), start, &traffic.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{"Attempt-Id": {id}}})
+						response, _ := client.Do(context.Background(), start, &traffic.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{hosted.HeaderAttempt: {id}}})
 						if response == nil {
 							continue // a failure that the caller sees as such
 						}
