--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts into review/bin. They need Go and nothing else.
+set -euo pipefail
+cd "$(dirname "$0")/standin"
+go build -o ../bin/cases .
--- /dev/null
+++ b/review/standin/cases.go
@@ -0,0 +1,289 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Bounds of the users' pages (the sheets of SYSTEM.md).
+const (
+	stableWindow = 3000 * time.Millisecond
+	drain        = 2000 * time.Millisecond
+	grace        = 6 * time.Second
+)
+
+// begin starts the store, the nodes and an upstream beside each, and waits until requests are served everywhere.
+func begin(ctx context.Context, services, zones []string, memoryMB, slots int, cfg map[string]any, work func(*http.Request) time.Duration) (*run, error) {
+	r, err := newRun(services, zones, memoryMB)
+	if err != nil {
+		return nil, err
+	}
+	current = r
+	r.store.putConfig(cfg)
+	if err := r.startAll(); err != nil {
+		return r, err
+	}
+	for i, n := range r.nodes {
+		u, err := startUpstream(r, n, fmt.Sprintf("i-%d%08x", i+1, rand.Uint32()), slots, work)
+		if err != nil {
+			return r, err
+		}
+		r.ups = append(r.ups, u)
+	}
+	if err := r.awaitReady(20 * time.Second); err != nil {
+		return r, err
+	}
+	for _, n := range r.nodes {
+		go r.askReady(ctx, n)
+	}
+	sleep(ctx, stableWindow+time.Second)
+	return r, nil
+}
+
+func constant(d time.Duration) func(*http.Request) time.Duration {
+	return func(*http.Request) time.Duration { return d }
+}
+
+// arrivedAfterLeave lists the requests that reached an upstream later than drain after the confirmation that it leaves,
+// taken and sent on by machines in touch.
+func arrivedAfterLeave(r *run, u *upstream, confirmed time.Time, inTouch func(*node, time.Time) bool) []string {
+	byID := map[string]attempt{}
+	for _, a := range r.sent() {
+		byID[a.id] = a
+	}
+	nodes := map[string]*node{}
+	for _, n := range r.nodes {
+		nodes[n.name] = n
+	}
+	var late []string
+	for _, a := range u.all() {
+		sent := byID[a.id]
+		if a.at.After(confirmed.Add(drain)) && nodes[sent.node] != nil && inTouch(nodes[sent.node], a.at) && inTouch(u.node, a.at) {
+			late = append(late, fmt.Sprintf("DRAIN: %s, sent to %s at %.3f, reached upstream %s at %.3f, %.3f s after the confirmation at %.3f", a.id, sent.node, r.at(sent.sentAt), u.id, r.at(a.at), a.at.Sub(confirmed).Seconds(), r.at(confirmed)))
+		}
+	}
+	return late
+}
+
+// brokenOff lists the requests that ran at an upstream as it exited, and had no success.
+func brokenOff(r *run, u *upstream, exit time.Time) int {
+	ended := map[string]attempt{}
+	for _, a := range r.sent() {
+		ended[a.id] = a
+	}
+	n := 0
+	for _, a := range u.all() {
+		if a.status == 0 && !a.at.After(exit) && ended[a.id].status != 200 {
+			n++
+		}
+	}
+	return n
+}
+
+// lateReport: an upstream leaves while the store is away, its node is restarted, and a status report of before arrives
+// late.
+func lateReport() (*run, bool, []string, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	service := "huvo11a"
+	cfg := config("00000007", []string{service}, route("r-1", "/pufi791/", "non_idempotent", service, 1000, 800, 1))
+	r, err := begin(ctx, []string{service, service, service}, []string{"larvik", "tonsberg", "horten"}, 284, 6, cfg, constant(100*time.Millisecond))
+	if err != nil {
+		return r, false, nil, err
+	}
+	var wg sync.WaitGroup
+	for _, n := range r.nodes {
+		r.load(ctx, &wg, n, 6, 200*time.Millisecond, func() (string, string, string, string, time.Duration) {
+			return http.MethodPost, host, "/pufi791/2f", "amount=5", time.Second
+		})
+	}
+	sleep(ctx, 3*time.Second)
+	n, u := r.nodes[0], r.ups[0]
+	if r.trouble {
+		r.note("the store answers 503 to all")
+		r.store.setDown(true)
+	}
+	sleep(ctx, 500*time.Millisecond)
+	u.stopBeat()
+	delayed := u.report() // sent now, and arrives late
+	r.note("upstream %s sends a status report with sequence %v, which is delayed, and then says that it leaves", u.id, delayed["sequence"])
+	if !u.send("/v1/deregister/"+u.id, map[string]any{"born": u.born}) {
+		return r, false, nil, fmt.Errorf("the leave was not confirmed")
+	}
+	confirmed := time.Now()
+	r.note("its leave is confirmed")
+	sleep(ctx, 1500*time.Millisecond)
+	if r.trouble {
+		r.note("the store is back")
+		r.store.setDown(false)
+	}
+	sleep(ctx, 300*time.Millisecond)
+	n.signal(r, syscall.SIGKILL)
+	<-n.exited
+	sleep(ctx, 300*time.Millisecond)
+	if err := n.start(r); err != nil {
+		return r, false, nil, err
+	}
+	if err := r.awaitReady(10 * time.Second); err != nil {
+		return r, false, nil, err
+	}
+	sleep(ctx, 1500*time.Millisecond)
+	r.note("the delayed report arrives, confirmed: %v", u.send("/v1/register/"+u.id, delayed))
+	r.note("the store holds the leave: %v", r.store.has("rosemaryhatch/leaves/"))
+	sleep(ctx, 4*time.Second)
+	exit := time.Now()
+	r.note("upstream %s exits", u.id)
+	u.exit()
+	sleep(ctx, 2*time.Second)
+	cancel()
+	wg.Wait()
+	late := arrivedAfterLeave(r, u, confirmed, func(m *node, at time.Time) bool { return at.After(m.startedAt.Add(stableWindow)) })
+	verdict := summary(late, 5)
+	verdict = append(verdict, fmt.Sprintf("%d requests reached the upstream later than drain-ms after its leave was confirmed; the rule allows none", len(late)))
+	verdict = append(verdict, fmt.Sprintf("%d requests were at work there as it exited and had no success", brokenOff(r, u, exit)))
+	return r, len(late) > 0, verdict, nil
+}
+
+func summary(lines []string, most int) []string {
+	if len(lines) > most {
+		return append(append([]string{}, lines[:most]...), fmt.Sprintf("and %d more like these", len(lines)-most))
+	}
+	return lines
+}
+
+// oddReport: after an upstream has said that it drains, another writer's report of it arrives, without the sequence.
+func oddReport() (*run, bool, []string, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	service := "huvo11a"
+	cfg := config("00000007", []string{service}, route("r-1", "/pufi791/", "non_idempotent", service, 1000, 800, 1))
+	r, err := begin(ctx, []string{service, service, service}, []string{"larvik", "tonsberg", "horten"}, 284, 6, cfg, constant(300*time.Millisecond))
+	if err != nil {
+		return r, false, nil, err
+	}
+	var wg sync.WaitGroup
+	for _, n := range r.nodes {
+		r.load(ctx, &wg, n, 6, 200*time.Millisecond, func() (string, string, string, string, time.Duration) {
+			return http.MethodPost, host, "/pufi791/2f", "amount=5", time.Second
+		})
+	}
+	sleep(ctx, 3*time.Second)
+	u := r.ups[0]
+	u.setState("draining")
+	if !u.send("/v1/register/"+u.id, u.report()) {
+		return r, false, nil, fmt.Errorf("the report was not confirmed")
+	}
+	confirmed := time.Now()
+	r.note("upstream %s says that it drains, which is confirmed", u.id)
+	sleep(ctx, 3*time.Second)
+	u.awaitReport(ctx)
+	if r.trouble {
+		odd := u.body()
+		delete(odd, "sequence")
+		delete(odd, "born")
+		odd["state"] = "ready"
+		r.note("a report from another writer arrives, without sequence and born, confirmed: %v", u.send("/v1/register/"+u.id, odd))
+	}
+	sleep(ctx, time.Second)
+	exit := time.Now()
+	r.note("upstream %s exits", u.id)
+	u.exit()
+	sleep(ctx, 2*time.Second)
+	cancel()
+	wg.Wait()
+	late := arrivedAfterLeave(r, u, confirmed, func(m *node, at time.Time) bool { return at.After(m.startedAt.Add(stableWindow)) })
+	verdict := summary(late, 5)
+	verdict = append(verdict, fmt.Sprintf("%d requests reached the upstream later than drain-ms after it was confirmed that it drains; the rule allows none", len(late)))
+	verdict = append(verdict, fmt.Sprintf("%d requests were at work there as it exited and had no success", brokenOff(r, u, exit)))
+	return r, len(late) > 0, verdict, nil
+}
+
+// endlessBody: two of four upstreams answer a small share of their requests with a body that doesn't end.
+func endlessBody() (*run, bool, []string, error) {
+	const memoryMB = 134
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	service := "huvo11a"
+	cfg := config("00000007", []string{service}, route("r-1", "/pufi791/", "non_idempotent", service, 1000, 800, 1))
+	r, err := begin(ctx, []string{service, service, service, service}, []string{"selfoss", "selfoss", "vik", "vik"}, memoryMB, 12, cfg, constant(90*time.Millisecond))
+	if err != nil {
+		return r, false, nil, err
+	}
+	spoilt := map[string]bool{}
+	var mu sync.Mutex
+	if r.trouble {
+		for _, u := range r.ups[:2] {
+			u.spoil = func(a *arrival, _ *http.Request, w http.ResponseWriter) bool {
+				if rand.Float64() >= 0.05 {
+					return false
+				}
+				mu.Lock()
+				spoilt[a.id] = true
+				mu.Unlock()
+				endless(a, w, endlessRate)
+				return true
+			}
+		}
+	}
+	var wg sync.WaitGroup
+	var peak = map[string]int64{}
+	kills := map[string]int{}
+	var deaths []time.Time
+	for _, n := range r.nodes {
+		r.load(ctx, &wg, n, 24, 200*time.Millisecond, func() (string, string, string, string, time.Duration) {
+			return http.MethodPost, host, "/pufi791/2f", "amount=5", time.Second
+		})
+		wg.Go(func() { // the platform kills a process that exceeds its memory, and starts it again
+			for ctx.Err() == nil {
+				used := n.memory()
+				mu.Lock()
+				peak[n.name] = max(peak[n.name], used)
+				mu.Unlock()
+				if used > memoryMB<<20 {
+					r.note("%s uses %d MB, more than its %d MB", n.name, used>>20, memoryMB)
+					n.signal(r, syscall.SIGKILL)
+					<-n.exited
+					mu.Lock()
+					kills[n.name]++
+					deaths = append(deaths, time.Now())
+					mu.Unlock()
+					sleep(ctx, 500*time.Millisecond)
+					n.start(r)
+				}
+				sleep(ctx, 50*time.Millisecond)
+			}
+		})
+	}
+	sleep(ctx, endlessPlay)
+	cancel()
+	wg.Wait()
+	ran := map[string]arrival{}
+	for _, u := range r.ups {
+		for _, a := range u.all() {
+			ran[a.id] = a
+		}
+	}
+	var lost []string
+	for _, a := range r.sent() {
+		got, passed := ran[a.id]
+		if a.end == "the connection was closed without an answer" && a.kept && passed && !spoilt[a.id] && (got.instance == r.ups[2].id || got.instance == r.ups[3].id) {
+			lost = append(lost, fmt.Sprintf("LOST: %s was sent to %s on a kept connection at %.3f, reached the sound upstream %s, and its connection was closed at %.3f without an answer", a.id, a.node, r.at(a.sentAt), got.instance, r.at(a.endedAt)))
+		}
+	}
+	verdict := summary(lost, 8)
+	verdict = append(verdict, fmt.Sprintf("%d requests lost; the rule allows three", len(lost)))
+	for _, n := range r.nodes {
+		verdict = append(verdict, fmt.Sprintf("%s: peak %d MB, killed %d times over its memory", n.name, peak[n.name]>>20, kills[n.name]))
+	}
+	return r, len(lost) > 3, verdict, nil
+}
+
+const (
+	endlessRate = 300 << 10 // bytes a second
+	endlessPlay = 90 * time.Second
+)
