--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,7 +15,7 @@
 type play func() (r *run, broken bool, verdict []string, err error)
 
 var plays = map[string]play{
-	"late-copy": lateCopy, "endless-body": endlessBody, "late-request": lateRequest, "late-report": lateReport, "odd-report": oddReport,
+	"late-copy": lateCopy, "endless-body": endlessBody, "late-request": lateRequest, "second-leave": secondLeave, "stop-twice": stopTwice,
 }
 
 func main() { os.Exit(realMain()) }
