--- a/review/build.sh
+++ b/review/build.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins of the scripts into review/bin. They need Go and nothing else.
 set -euo pipefail
 cd "$(dirname "$0")/standin"
-go build -o ../bin/cases .
+go build -buildvcs=false -o ../bin/cases .
