--- a/review/standin/run.go
+++ b/review/standin/run.go
@@ -76,6 +76,19 @@
 	}
 }
 
+// spells is a trouble that comes again and again, each time for a while.
+type spells struct {
+	start       time.Time
+	first       time.Duration // from start to the first spell
+	length, gap time.Duration
+}
+
+// on reports whether a spell is under way.
+func (s spells) on() bool {
+	since := time.Since(s.start) - s.first
+	return since >= 0 && since%(s.length+s.gap) < s.length
+}
+
 // newRun prepares nodes on loopback addresses of their own, and the store.
 func newRun(services, zones []string, memoryMB int) (*run, error) {
 	dir, err := os.MkdirTemp("", "review")
