runner/backend, reducer: bound the responses being received in sum and time

Cause: a response that is not streamed was held up to 8 MB, and one of a call that is not idempotent was received for up to 60 s, although its caller had been answered after 1 s. 12 slots of 8 MB are 96 MB beside an idle process of 43 MB. Nothing bounded the sum. Queued bodies were ruled out: they have 8 bytes, and the peaks follow the slots.

Change: the reducer counts the responses that outgrow 64 KiB. A runner asks before it holds more (ResponseGrows, AnswerResponseGrowth); when the memory is short, the largest response is cut, and one that nobody waits for gets no more. A cut call is unknown, response_too_large, since it has run. A response that has begun ends within a second of its call's time. Bodies of responses to other requests are skipped without being held.

Why it works: the bytes held are at most limits.response_bytes (an eighth of memory_mb) and 64 KiB a slot, at any rate of any number of backend servers' answers; sound responses of usual size never ask.

The fault matrix has the fault and a scenario of responses without end; it found that a stop is not charged with a response that the backend server broke off, as with a killed one. internal/faultmatrix passes (57 s).

--- a/internal/faultmatrix/scenarios.go
+++ b/internal/faultmatrix/scenarios.go
@@ -72,6 +72,12 @@
 			w.After(30*time.Millisecond, w.Node(Target).Stop)
 			w.After(3*time.Second, func() { sendRequest(w, Ingress, "r2", "/dues", "k1", false) })
 		}, Length: 3100 * time.Millisecond, WarmUp: keyWarmUp},
+		{Name: "responses without end", Begin: func(w *pump.World) {
+			w.Node(Target).Backend.Endless = true
+			for i, path := range []string{"/dues", "/lookup", "/dues", "/lookup"} {
+				sendRequest(w, Ingress, fmt.Sprint("r", i), path, "", path == "/lookup")
+			}
+		}, Length: 200 * time.Millisecond, LosesRequests: true, Sampled: true},
 		{Name: "planned stop", Begin: func(w *pump.World) {
 			sendRequest(w, Ingress, "r1", "/dues", "", false)
 			w.After(10*time.Millisecond, w.Node(Target).Stop)
--- a/internal/measure/nodes/host.go
+++ b/internal/measure/nodes/host.go
@@ -82,7 +82,7 @@
 		},
 		Peers:    settings.Peers{Seeds: seeds},
 		Platform: settings.Platform{Address: h.platform},
-		Limits:   settings.Limits{Calls: 4096, BodyBytes: 128 << 20, QueuedBytes: 64 << 20, Records: 100_000},
+		Limits:   settings.Limits{Calls: 4096, BodyBytes: 128 << 20, QueuedBytes: 64 << 20, ResponseBytes: 64 << 20, Records: 100_000},
 		Shutdown: settings.Shutdown{Timeout: time.Second},
 	}
 }
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -43,6 +43,8 @@
 		if g := n.traffic[e.Call]; g != nil {
 			n.endBackendRequest(e.Call, g, reducer.BackendAborted, 0)
 		}
+	case reducer.AnswerResponseGrowth:
+		n.answerGrowth(e)
 	case reducer.AnswerForward:
 		n.answerForward(e)
 	case reducer.AnswerSettle:
@@ -190,6 +192,10 @@
 		if !g.running {
 			return
 		}
+		if n.Backend.Endless {
+			n.growResponse(e.Call, g, 2*reducer.FreeResponseBytes)
+			return
+		}
 		g.localResponse = g.request
 		if e.KeepResponse {
 			n.keptResponses[e.Call] = g.request
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -92,6 +92,7 @@
 	Running      int
 	MaxRunning   int
 	Shedding     bool // refuses requests without running them
+	Endless      bool // runs requests and answers with a body that does not end
 }
 
 // goroutine stands for a traffic goroutine of a node. It holds the data of one call or exchange.
@@ -102,6 +103,7 @@
 	onAnswer      func(answer reducer.AnswerForward, response invariant.Request)
 	onSettled     func(answer reducer.AnswerSettle, response invariant.Request)
 	onAccepted    func(bool)
+	onGrowth      func(allowed bool)
 	responses     map[int]invariant.Request // by attempt
 	localResponse invariant.Request
 	running       bool
--- a/node/hosted_test.go
+++ b/node/hosted_test.go
@@ -49,7 +49,7 @@
 			Backend:  settings.Backend{Service: "desk", Address: server.Addr().String(), Heartbeat: 100 * time.Millisecond},
 			Listen:   addresses,
 			Platform: settings.Platform{Mode: settings.ModeHosted, Address: kv.Listener.Addr().String()},
-			Limits:   settings.Limits{Calls: 1000, BodyBytes: 1 << 24, QueuedBytes: 1 << 24, Records: 1000},
+			Limits:   settings.Limits{Calls: 1000, BodyBytes: 1 << 24, QueuedBytes: 1 << 24, ResponseBytes: 1 << 24, Records: 1000},
 			Shutdown: settings.Shutdown{Timeout: time.Second},
 		}
 		n := New(s, listeners, store.New(s.Platform.Address), log.NewNopLogger())
@@ -100,19 +100,27 @@
 
 // putVersion writes a version of the configuration to the store, as the platform's operator does. The only path of a
 // version is /v followed by its number.
-func (h *hostedNodes) putVersion(version int) {
+func (h *hostedNodes) putVersion(version int) { h.putRoute(version, "idempotent") }
+
+// putRoute is putVersion with the kind of the path.
+func (h *hostedNodes) putRoute(version int, kind string) {
 	h.store.OperatorPut(hosted.KeyConfig, fmt.Appendf(nil, `{"version":"%08x","services":[{"name":"desk","max-connections":100}],
 		"limits":{"max-header-bytes":16384,"max-body-bytes":65536,"header-timeout-ms":2000,"idle-timeout-ms":60000},
-		"virtual-hosts":[{"host":"desk.example","paths":[{"name":"all","prefix":"/v%d","kind":"idempotent",
-		"timeout-ms":2000,"target-latency-ms":500,"priority":1,"service":"desk","max-attempts":3}]}]}`, version, version))
+		"virtual-hosts":[{"host":"desk.example","paths":[{"name":"all","prefix":"/v%d","kind":"%s",
+		"timeout-ms":2000,"target-latency-ms":500,"priority":1,"service":"desk","max-attempts":3}]}]}`, version, version, kind))
 }
 
 // get sends a request and returns the status and the body of the response.
 func (h *hostedNodes) get(node int, path, id string) (int, string, error) {
+	return h.send(node, path, id, 2*time.Second)
+}
+
+// send is get for a caller that waits for the given time.
+func (h *hostedNodes) send(node int, path, id string, wait time.Duration) (int, string, error) {
 	request, _ := http.NewRequest(http.MethodGet, "http://"+h.callerAddresses[node]+path, nil)
 	request.Host = "desk.example"
 	request.Header.Set(hosted.HeaderAttempt, id)
-	request.Header.Set(hosted.HeaderTimeLeft, "2000")
+	request.Header.Set(hosted.HeaderTimeLeft, fmt.Sprint(wait.Milliseconds()))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return 0, "", err
--- a/node/lifecycle_test.go
+++ b/node/lifecycle_test.go
@@ -68,7 +68,7 @@
 		listeners, addresses := openListeners(t)
 		n := New(settings.Settings{
 			Node: settings.Node{ID: id, Zone: "Larvik", System: "test"}, Listen: addresses, Peers: settings.Peers{Seeds: seeds},
-			Limits:   settings.Limits{Calls: 1000, BodyBytes: 1 << 24, QueuedBytes: 1 << 24, Records: 1000},
+			Limits:   settings.Limits{Calls: 1000, BodyBytes: 1 << 24, QueuedBytes: 1 << 24, ResponseBytes: 1 << 24, Records: 1000},
 			Shutdown: settings.Shutdown{Timeout: waitTimeout}, Log: settings.Log{Level: "debug"},
 			Trace: settings.Trace{Endpoint: collector.Listener.Addr().String(), Sample: 1},
 		}, listeners, store.New(kv.Listener.Addr().String()), log.NewLogfmtLogger(p))
--- a/node/node.go
+++ b/node/node.go
@@ -101,6 +101,7 @@
 	limits := reducer.DefaultLimits()
 	limits.MaxCalls, limits.MaxRecords = s.Limits.Calls, s.Limits.Records
 	limits.MaxBodyBytes, limits.MaxQueuedBytes = s.Limits.BodyBytes, s.Limits.QueuedBytes
+	limits.MaxResponseBytes = s.Limits.ResponseBytes
 	return reducer.Config{
 		Self: reducer.NodeID(s.Node.ID), Zone: s.Node.Zone, Address: s.Listen.PeerAddress(), Operator: s.Listen.Operator,
 		Incarnation: incarnation, Seeds: s.Peers.Seeds, Discover: true, Limits: limits,
@@ -139,7 +140,7 @@
 		front = hosted.FrontEnd{Service: s.Backend.Service}
 		source = hosted.Source()
 	}
-	n.backend = backend.NewRunner(n.responses, front)
+	n.backend = backend.NewRunner(n.responses, front, n.thread, n.mailboxes)
 	n.peerClient = peer.NewClient(self, n.thread.Post, n.metrics)
 	n.peerServer = peer.NewServer(self, n.listeners.Peers, &target.Handler{
 		Control: n.thread, Mailboxes: n.mailboxes, Responses: n.responses,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -88,7 +88,7 @@
 		Listen:   addresses,
 		Peers:    settings.Peers{Seeds: seeds},
 		Platform: settings.Platform{Address: kv},
-		Limits:   settings.Limits{Calls: 1000, BodyBytes: 1 << 24, QueuedBytes: 1 << 24, Records: 1000},
+		Limits:   settings.Limits{Calls: 1000, BodyBytes: 1 << 24, QueuedBytes: 1 << 24, ResponseBytes: 1 << 24, Records: 1000},
 		Shutdown: settings.Shutdown{Timeout: time.Second},
 	}
 	n := New(s, listeners, store.New(kv), log.NewNopLogger())
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -96,18 +96,28 @@
 
 // StartBackendRequest sends a call to the backend server beside this node. BackendRequestDone reports its end.
 type StartBackendRequest struct {
-	Call      Handle
-	ID        CallID
-	Address   string
-	Instance  string        // incarnation of the backend server that may run the call; empty allows any
-	TimeLeft  time.Duration // remaining time that the backend server is told
-	Timeout   time.Duration // timeout of the request; longer than TimeLeft for a call that is not idempotent
-	Limits    CallLimits
-	Streaming bool // a long response is passed on while it is received
+	Call     Handle
+	ID       CallID
+	Address  string
+	Instance string        // incarnation of the backend server that may run the call; empty allows any
+	TimeLeft time.Duration // remaining time that the backend server is told
+	Timeout  time.Duration // timeout of the request; longer than TimeLeft for a call that is not idempotent
+	// ResponseTail is how long the head and the body of the response may each take beyond TimeLeft or, when they begin later,
+	// beyond their begin; 0 for no bound but Timeout.
+	ResponseTail time.Duration
+	Limits       CallLimits
+	Streaming    bool // a long response is passed on while it is received
 	// KeepResponse keeps the response until DropResponse, so that copies of the call can be answered with it.
 	KeepResponse bool
 }
 
+// AnswerResponseGrowth answers ResponseGrows. Allowed is false for a response that must be cut, which may also follow an
+// earlier answer: then the request ends with BackendOversized.
+type AnswerResponseGrowth struct {
+	Exchange Handle
+	Allowed  bool
+}
+
 // AbortBackendRequest ends a request to the backend server whose response is not needed any more.
 type AbortBackendRequest struct{ Call Handle }
 
@@ -276,55 +286,57 @@
 // StopProcess ends the process after a graceful shutdown.
 type StopProcess struct{}
 
-func (ReadBody) effect()            {}
-func (FailCall) effect()            {}
-func (PostponeCall) effect()        {}
-func (Deliver) effect()             {}
-func (Forward) effect()             {}
-func (Probe) effect()               {}
-func (Settle) effect()              {}
-func (Cancel) effect()              {}
-func (StartBackendRequest) effect() {}
-func (AbortBackendRequest) effect() {}
-func (AnswerForward) effect()       {}
-func (AnswerSettle) effect()        {}
-func (DropResponse) effect()        {}
-func (HandOver) effect()            {}
-func (AcceptRecords) effect()       {}
-func (ConfigureBackend) effect()    {}
-func (ReadStore) effect()           {}
-func (WatchStore) effect()          {}
-func (GrantLease) effect()          {}
-func (RenewLease) effect()          {}
-func (EndLease) effect()            {}
-func (AnnounceNode) effect()        {}
-func (ListNodes) effect()           {}
-func (StoreDeregistration) effect() {}
-func (ReadDeregistration) effect()  {}
-func (AcknowledgeBackend) effect()  {}
-func (CheckTables) effect()         {}
-func (Publish) effect()             {}
-func (Send) effect()                {}
-func (WakeAt) effect()              {}
-func (AnswerStatus) effect()        {}
-func (CallFinished) effect()        {}
-func (CallQueued) effect()          {}
-func (Log) effect()                 {}
-func (CloseListener) effect()       {}
-func (StopProcess) effect()         {}
+func (ReadBody) effect()             {}
+func (FailCall) effect()             {}
+func (PostponeCall) effect()         {}
+func (Deliver) effect()              {}
+func (Forward) effect()              {}
+func (Probe) effect()                {}
+func (Settle) effect()               {}
+func (Cancel) effect()               {}
+func (StartBackendRequest) effect()  {}
+func (AnswerResponseGrowth) effect() {}
+func (AbortBackendRequest) effect()  {}
+func (AnswerForward) effect()        {}
+func (AnswerSettle) effect()         {}
+func (DropResponse) effect()         {}
+func (HandOver) effect()             {}
+func (AcceptRecords) effect()        {}
+func (ConfigureBackend) effect()     {}
+func (ReadStore) effect()            {}
+func (WatchStore) effect()           {}
+func (GrantLease) effect()           {}
+func (RenewLease) effect()           {}
+func (EndLease) effect()             {}
+func (AnnounceNode) effect()         {}
+func (ListNodes) effect()            {}
+func (StoreDeregistration) effect()  {}
+func (ReadDeregistration) effect()   {}
+func (AcknowledgeBackend) effect()   {}
+func (CheckTables) effect()          {}
+func (Publish) effect()              {}
+func (Send) effect()                 {}
+func (WakeAt) effect()               {}
+func (AnswerStatus) effect()         {}
+func (CallFinished) effect()         {}
+func (CallQueued) effect()           {}
+func (Log) effect()                  {}
+func (CloseListener) effect()        {}
+func (StopProcess) effect()          {}
 
 // CallHandle returns the handle of the goroutine that carries out the effect.
-func (e ReadBody) CallHandle() Handle            { return e.Call }
-func (e FailCall) CallHandle() Handle            { return e.Call }
-func (e PostponeCall) CallHandle() Handle        { return e.Call }
-func (e Deliver) CallHandle() Handle             { return e.Call }
-func (e Forward) CallHandle() Handle             { return e.Call }
-func (e Probe) CallHandle() Handle               { return e.Call }
-func (e Settle) CallHandle() Handle              { return e.Call }
-func (e StartBackendRequest) CallHandle() Handle { return e.Call }
-func (e AbortBackendRequest) CallHandle() Handle { return e.Call }
-func (e AnswerForward) CallHandle() Handle       { return e.Call }
-func (e AnswerSettle) CallHandle() Handle        { return e.Exchange }
-func (e AcceptRecords) CallHandle() Handle       { return e.Exchange }
-func (e AcknowledgeBackend) CallHandle() Handle  { return e.Exchange }
-func (e AnswerStatus) CallHandle() Handle        { return e.Exchange }
+func (e ReadBody) CallHandle() Handle             { return e.Call }
+func (e FailCall) CallHandle() Handle             { return e.Call }
+func (e PostponeCall) CallHandle() Handle         { return e.Call }
+func (e Deliver) CallHandle() Handle              { return e.Call }
+func (e Forward) CallHandle() Handle              { return e.Call }
+func (e Probe) CallHandle() Handle                { return e.Call }
+func (e Settle) CallHandle() Handle               { return e.Call }
+func (e StartBackendRequest) CallHandle() Handle  { return e.Call }
+func (e AnswerResponseGrowth) CallHandle() Handle { return e.Exchange }
+func (e AbortBackendRequest) CallHandle() Handle  { return e.Call }
+func (e AnswerForward) CallHandle() Handle        { return e.Call }
+func (e AnswerSettle) CallHandle() Handle         { return e.Exchange }
+func (e AcceptRecords) CallHandle() Handle        { return e.Exchange }
+func (e AcknowledgeBackend) CallHandle() Handle   { return e.Exchange }
+func (e AnswerStatus) CallHandle() Handle         { return e.Exchange }
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -161,6 +161,7 @@
 	BackendFailed                               // the connection failed after the request may have been sent
 	BackendAborted                              // ended by AbortBackendRequest or by the deadline
 	BackendMisdirected                          // another backend server now has the address; it did not run the request
+	BackendOversized                            // the response was cut because it was too large; the request has run
 )
 
 // BackendRequestDone reports the end of a request that a StartBackendRequest effect sent, or, with Streaming, that the
@@ -179,6 +180,15 @@
 // Streaming: the response is complete, broke off, or nobody takes it any more.
 type BackendStreamEnded struct{ Call Handle }
 
+// ResponseGrows asks to hold up to Bytes bytes of the response to a request that StartBackendRequest sent, which is being
+// received. A runner asks before it holds more than FreeResponseBytes, and again each time it needs more.
+// AnswerResponseGrowth answers.
+type ResponseGrows struct {
+	Call     Handle
+	Exchange Handle
+	Bytes    int64
+}
+
 // BackendRegistered reports a registration of the backend server beside this node. The backend server
 // repeats it each second as its heartbeat.
 //
@@ -337,6 +347,7 @@
 func (CancelArrived) input()        {}
 func (BackendRequestDone) input()   {}
 func (BackendStreamEnded) input()   {}
+func (ResponseGrows) input()        {}
 func (BackendRegistered) input()    {}
 func (BackendDeregistered) input()  {}
 func (DeregistrationStored) input() {}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -13,19 +13,22 @@
 	MaxBodyBytes   int64 // bytes reserved for request bodies
 	MaxQueuedBytes int64 // bytes of request bodies queued for the backend server
 	MaxRecords     int   // execution records and fences
-	MaxKeptBytes   int64 // bytes of responses kept with execution records
-	MaxMembers     int
+	// MaxResponseBytes bounds the responses of the backend server that are being received, beside FreeResponseBytes of each.
+	MaxResponseBytes int64
+	MaxKeptBytes     int64 // bytes of responses kept with execution records
+	MaxMembers       int
 }
 
 // DefaultLimits returns the limits of a node with 256 MB of memory for control state and 256 MB for bodies.
 func DefaultLimits() Limits {
 	return Limits{
-		MaxCalls:       4096,
-		MaxBodyBytes:   128 << 20,
-		MaxQueuedBytes: 64 << 20,
-		MaxRecords:     100_000,
-		MaxKeptBytes:   64 << 20,
-		MaxMembers:     4096,
+		MaxCalls:         4096,
+		MaxBodyBytes:     128 << 20,
+		MaxQueuedBytes:   64 << 20,
+		MaxRecords:       100_000,
+		MaxResponseBytes: 64 << 20,
+		MaxKeptBytes:     64 << 20,
+		MaxMembers:       4096,
 	}
 }
 
@@ -145,6 +148,8 @@
 		s.handleBackendRequestDone(in)
 	case BackendStreamEnded:
 		s.handleBackendStreamEnded(in)
+	case ResponseGrows:
+		s.handleResponseGrows(in)
 	case BackendRegistered:
 		s.handleBackendRegistered(in)
 	case BackendDeregistered:
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -62,6 +62,7 @@
 	running     int
 	queuedBytes int64
 	records     recordTable
+	responses   responseMemory
 }
 
 func (t *targetState) init() {
@@ -154,7 +155,7 @@
 		timeout = tables.MaxTimeout
 	}
 	s.emit(StartBackendRequest{
-		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Timeout: timeout,
+		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Timeout: timeout, ResponseTail: responseTail,
 		Limits: call.limits, KeepResponse: call.record != nil, Streaming: call.streaming,
 	})
 }
@@ -164,6 +165,7 @@
 	if call == nil || call.phase != targetRunning {
 		return
 	}
+	s.target.responses.release(call.handle)
 	if in.Streaming {
 		s.beginStream(call, in)
 		return
@@ -235,6 +237,8 @@
 		return OutcomeNotRun, ReasonBackendUnreachable
 	case BackendAborted:
 		return OutcomeUnknown, ReasonDeadline
+	case BackendOversized:
+		return OutcomeUnknown, ReasonResponseTooLarge
 	default:
 		return OutcomeUnknown, ReasonBackendFailed
 	}
@@ -283,7 +287,8 @@
 }
 
 // expireTargetCall ends a call at its deadline. A queued call is refused. A running one is aborted if it is idempotent;
-// otherwise it continues, so that its record gets an outcome.
+// otherwise it continues, so that its record gets an outcome, unless a large response is being received: the call has
+// run then.
 func (s *State) expireTargetCall(handle Handle) {
 	call := s.target.calls[handle]
 	if call == nil {
@@ -298,6 +303,7 @@
 	if call.idempotent {
 		s.emit(AbortBackendRequest{Call: call.handle})
 	}
+	s.cutResponse(call.handle)
 }
 
 func (s *State) removeTargetCall(call *targetCall) {
@@ -313,6 +319,7 @@
 		return OutcomeUnknown
 	}
 	call.abandoned = true
+	s.cutResponse(handle)
 	return s.cancelTargetCall(call)
 }
 
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -110,6 +110,7 @@
 	ReasonForgotten
 	ReasonOtherBackend     // another backend server now has the address
 	ReasonUnsupportedRoute // this release cannot serve the route
+	ReasonResponseTooLarge // the response was cut because it needed too much memory
 	reasonCount
 )
 
@@ -118,7 +119,7 @@
 	"body_too_large", "body_incomplete", "too_deep", "leaving", "draining", "wrong_incarnation",
 	"fenced", "records_full", "shed", "backend_unreachable", "backend_failed", "peer_unreachable",
 	"caller_gone", "key_owner_lost", "key_moved", "forgotten", "other_backend",
-	"unsupported_route",
+	"unsupported_route", "response_too_large",
 }
 
 func (r Reason) String() string {
--- a/runner/backend/client.go
+++ b/runner/backend/client.go
@@ -45,6 +45,8 @@
 	front   frontend.FrontEnd
 	dialer  net.Dialer
 	permits chan struct{} // semaphore with one element per connection in use
+	// newGrowth returns what asks whether the response to a call may grow; cut ends its receipt. Nil if none is asked.
+	newGrowth func(call reducer.Handle, cut func()) *growth
 
 	mu     sync.Mutex
 	idle   []*backendConn // most recently used last
@@ -113,7 +115,12 @@
 		<-c.permits
 		cancel()
 	}
-	in, err := conn.roundTrip(head, request, c.front, start.Streaming)
+	conn.end = responseEnd{after: time.Now().Add(start.TimeLeft), tail: start.ResponseTail}
+	if c.newGrowth != nil {
+		conn.growth = c.newGrowth(start.Call, func() { conn.Close() })
+	}
+	in, err := conn.roundTrip(ctx, head, request, c.front, start.Streaming)
+	conn.growth.end() // before another request can use the connection
 	if err != nil {
 		result := classifyFailure(ctx, conn)
 		release(false)
@@ -136,6 +143,8 @@
 	switch {
 	case conn.written == 0:
 		return reducer.BackendNotSent
+	case conn.growth.wasCut():
+		return reducer.BackendOversized
 	case ctx.Err() != nil:
 		return reducer.BackendAborted
 	default:
@@ -268,6 +277,27 @@
 	written       int              // bytes of the current request
 	streaming     bool             // the rest of the current response may be read later
 	reusableUntil time.Time        // end of the idle timeout
+	end           responseEnd      // of the current response
+	growth        *growth          // of the current response; nil if none is asked
+}
+
+// responseEnd bounds the time of a response that has begun: its head, and then its body, may take until after, and tail
+// beyond the later of that and their begin.
+type responseEnd struct {
+	after time.Time
+	tail  time.Duration // 0 for no bound
+}
+
+// set sets the read deadline of a connection on which a head or a body begins.
+func (e responseEnd) set(conn net.Conn) error {
+	if e.tail == 0 {
+		return nil
+	}
+	end := time.Now()
+	if e.after.After(end) {
+		end = e.after
+	}
+	return conn.SetReadDeadline(end.Add(e.tail))
 }
 
 func newBackendConn(raw net.Conn) *backendConn {
@@ -299,13 +329,13 @@
 }
 
 // roundTrip sends a request and reads the response: completely, or with streaming up to traffic.MaxWholeBodyBytes.
-func (c *backendConn) roundTrip(h *requestHead, request *traffic.Request, front frontend.FrontEnd, streaming bool) (received, error) {
+func (c *backendConn) roundTrip(ctx context.Context, h *requestHead, request *traffic.Request, front frontend.FrontEnd, streaming bool) (received, error) {
 	body := request.Body
 	if len(body) <= maxInlineBodyBytes {
 		if _, err := c.Write(append(h.bytes, body...)); err != nil {
 			return received{}, err
 		}
-		return c.readResponse(h, front, streaming)
+		return c.readResponse(ctx, h, front, streaming)
 	}
 	if _, err := c.Write(h.bytes); err != nil {
 		return received{}, err
@@ -315,7 +345,7 @@
 		_, err := c.Conn.Write(body)
 		bodyWritten <- err
 	}()
-	in, err := c.readResponse(h, front, false)
+	in, err := c.readResponse(ctx, h, front, false)
 	select {
 	case writeErr := <-bodyWritten:
 		in.reuse = in.reuse && writeErr == nil
@@ -328,9 +358,9 @@
 }
 
 // readResponse skips responses until it has read the one that answers the request.
-func (c *backendConn) readResponse(h *requestHead, front frontend.FrontEnd, streaming bool) (received, error) {
+func (c *backendConn) readResponse(ctx context.Context, h *requestHead, front frontend.FrontEnd, streaming bool) (received, error) {
 	for range maxResponsesPerRequest {
-		in, body, err := c.readNextResponse(h, front, streaming)
+		in, body, err := c.readNextResponse(ctx, h, front, streaming)
 		if err != nil {
 			return received{}, err
 		}
@@ -372,38 +402,45 @@
 )
 
 // readNextResponse reads the next response on the connection. With streaming, c.streaming tells whether a body that is
-// longer than traffic.MaxWholeBodyBytes was read only in part; a response to another request is always read to its end.
-func (c *backendConn) readNextResponse(h *requestHead, front frontend.FrontEnd, streaming bool) (*http.Response, []byte, error) {
+// longer than traffic.MaxWholeBodyBytes was read only in part. The body of a response to another request is skipped.
+func (c *backendConn) readNextResponse(ctx context.Context, h *requestHead, front frontend.FrontEnd, streaming bool) (*http.Response, []byte, error) {
 	c.limit.N = maxHeaderBytes
+	if _, err := c.reader.Peek(1); err != nil {
+		return nil, nil, err
+	}
+	if err := c.end.set(c.Conn); err != nil {
+		return nil, nil, err
+	}
 	in, err := http.ReadResponse(c.reader, &http.Request{Method: h.method})
 	if err != nil {
 		return nil, nil, err
 	}
-	c.streaming = streaming && front.ResponseMatches(h.header, in.Header, in.StatusCode)
+	ask := func(bytes int64) error { return c.growth.ask(ctx, bytes) }
+	if err := c.end.set(c.Conn); err != nil {
+		return nil, nil, err
+	}
+	matches := front.ResponseMatches(h.header, in.Header, in.StatusCode)
+	c.streaming = streaming && matches
 	if c.streaming {
 		c.limit.N = math.MaxInt64 // the deadline bounds the response, and the stream its memory
-		body, err := readFirst(in, traffic.MaxWholeBodyBytes+1)
+		body, err := readBody(in.Body, in.ContentLength, traffic.MaxWholeBodyBytes+1, ask)
 		return in, body, err
 	}
 	c.limit.N = maxResponseBytes + maxHeaderBytes
-	body, err := io.ReadAll(io.LimitReader(in.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errResponseTooLarge
+	if !matches {
+		skipped, err := io.Copy(io.Discard, io.LimitReader(in.Body, maxResponseBytes+1))
+		return in, nil, checkBodySize(skipped, err)
 	}
-	return in, body, err
+	body, err := readBody(in.Body, in.ContentLength, maxResponseBytes+1, ask)
+	return in, body, checkBodySize(int64(len(body)), err)
 }
 
-// readFirst reads the body of a response to its end, or up to limit bytes. It allocates once if the length is known.
-func readFirst(in *http.Response, limit int64) ([]byte, error) {
-	if in.ContentLength < 0 || in.Body == http.NoBody {
-		return io.ReadAll(io.LimitReader(in.Body, limit))
-	}
-	body := make([]byte, min(in.ContentLength, limit))
-	_, err := io.ReadFull(in.Body, body)
-	if err == nil && in.ContentLength <= limit {
-		_, err = io.Copy(io.Discard, in.Body) // reaches the end, after which the connection can be used again
+// checkBodySize returns errResponseTooLarge for a body that was read to the limit and has not ended.
+func checkBodySize(size int64, err error) error {
+	if err == nil && size > maxResponseBytes {
+		return errResponseTooLarge
 	}
-	return body, err
+	return err
 }
 
 // connectionHeaders are the response headers that apply only to the connection with the backend server.
@@ -411,7 +448,7 @@
 
 // prepareReuse reports whether the connection may be reused after a response, and sets reusableUntil.
 func (c *backendConn) prepareReuse(in *http.Response) bool {
-	if in.Close || c.reader.Buffered() > 0 {
+	if in.Close || c.reader.Buffered() > 0 || c.SetReadDeadline(time.Time{}) != nil {
 		return false
 	}
 	idle := idleTimeout
--- a/runner/backend/runner.go
+++ b/runner/backend/runner.go
@@ -18,17 +18,24 @@
 	client    atomic.Pointer[Client]
 	responses *traffic.ResponseStore
 	front     frontend.FrontEnd
+	control   ControlThread
+	mailboxes *traffic.Mailboxes
 }
 
-// NewRunner returns a runner without a backend server. It puts the responses that are to be kept into the given store.
-func NewRunner(responses *traffic.ResponseStore, front frontend.FrontEnd) *Runner {
-	return &Runner{responses: responses, front: front}
+// NewRunner returns a runner without a backend server. It puts the responses that are to be kept into the given store,
+// and asks the control thread how much of a large response may be held.
+func NewRunner(responses *traffic.ResponseStore, front frontend.FrontEnd, control ControlThread, mailboxes *traffic.Mailboxes) *Runner {
+	return &Runner{responses: responses, front: front, control: control, mailboxes: mailboxes}
 }
 
 // Configure sets the address and the connection limit of the backend server. Requests in flight finish on their
 // current connections.
 func (r *Runner) Configure(c reducer.ConfigureBackend) {
-	old := r.client.Swap(NewClient(c.Address, c.MaxConnections, r.front))
+	client := NewClient(c.Address, c.MaxConnections, r.front)
+	client.newGrowth = func(call reducer.Handle, cut func()) *growth {
+		return &growth{control: r.control, mailboxes: r.mailboxes, call: call, cut: cut}
+	}
+	old := r.client.Swap(client)
 	if old != nil {
 		old.Close()
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -85,7 +85,9 @@
 	Calls       int   // calls that entered at this node
 	BodyBytes   int64 // reserved for request bodies
 	QueuedBytes int64 // request bodies queued for the backend server
-	Records     int   // execution records
+	// ResponseBytes bounds the large responses of the backend server that are being received.
+	ResponseBytes int64
+	Records       int // execution records
 }
 
 // Retries is the retry budget of all nodes together.
@@ -202,6 +204,7 @@
 }
 
 func (r *reader) settings() Settings {
+	memory := r.integer("runtime", "memory_mb", 0, 0, 1<<20) << 20
 	return Settings{
 		Node: Node{
 			ID:     r.name("node", "id"),
@@ -230,14 +233,16 @@
 			Calls:       int(r.integer("limits", "calls", 4096, 1, 65536)),
 			BodyBytes:   r.integer("limits", "body_bytes", 128<<20, 1<<20, 1<<34),
 			QueuedBytes: r.integer("limits", "queued_bytes", 64<<20, 1<<20, 1<<34),
-			Records:     int(r.integer("limits", "records", 100_000, 100, 10_000_000)),
+			// An eighth of the memory is 16 MB on the smallest instances, where 80 MB are left beside the idle process.
+			ResponseBytes: r.integer("limits", "response_bytes", defaultResponseBytes(memory), 1<<20, 1<<34),
+			Records:       int(r.integer("limits", "records", 100_000, 100, 10_000_000)),
 		},
 		Retries: Retries{
 			Ratio: r.fraction("retries", "ratio", 0.2),
 			Slack: int(r.integer("retries", "slack", 200, 0, 1_000_000)),
 		},
 		Runtime: Runtime{
-			MemoryBytes: r.integer("runtime", "memory_mb", 0, 0, 1<<20) << 20,
+			MemoryBytes: memory,
 			Processors:  int(r.integer("runtime", "processors", 2, 1, 1024)),
 		},
 		Shutdown: Shutdown{Timeout: r.duration("shutdown", "timeout", time.Minute, time.Second, time.Hour)},
@@ -252,6 +257,22 @@
 	}
 }
 
+// Bounds of the default of response_bytes.
+const (
+	minDefaultResponseBytes = 1 << 20
+	maxDefaultResponseBytes = 64 << 20
+	// responseMemoryDivisor is the part of the memory of the process that large responses may take.
+	responseMemoryDivisor = 8
+)
+
+// defaultResponseBytes returns the default of response_bytes for the memory of the process, 0 when that is not bounded.
+func defaultResponseBytes(memory int64) int64 {
+	if memory == 0 {
+		return maxDefaultResponseBytes
+	}
+	return min(max(memory/responseMemoryDivisor, minDefaultResponseBytes), maxDefaultResponseBytes)
+}
+
 func (r *reader) addProblem(section, key, format string, args ...any) {
 	r.problems = append(r.problems, Problem{r.path, section, key, fmt.Sprintf(format, args...)})
 }
