reducer: a leaving node takes no call that may outlive it

Cause: the listener closes after 2 s, but open connections stay in use while a call is in progress, and nothing compared the time of a new call with the time that the node has left. An early end of the process and connections closed while a request is read were ruled out by the record of the run: each lost request had reached a backend server, and the process was killed at 6 s.

Change: a call that arrives after the listener has closed, and whose time ends after the shutdown timeout, is refused as not run (leaving, Retry-After, Connection: close). Shorter calls are taken, so that the backend server can finish its work.

Why it works: what is taken ends at its own deadline before the process does, and a refusal says truthfully that the request has not run.

The matrix let no request arrive after the listener had closed and killed no process that was stopping; now it does both.

--- a/internal/faultmatrix/combined.go
+++ b/internal/faultmatrix/combined.go
@@ -29,6 +29,7 @@
 			sendRequest(w, Ingress, "r1", "/dues", "", false)
 			w.After(10*time.Millisecond, w.Node(Target).Stop)
 		}, Length: 3200 * time.Millisecond, Sampled: true},
+		{Name: "planned stop, requests on open connections", Begin: stopUnderOpenConnections, Length: 6500 * time.Millisecond, Sampled: true},
 		{Name: "zone stops node by node under load", Begin: stopZoneUnderLoad, Length: 4 * time.Second, SixNodes: true, Sampled: true},
 		{Name: "target drains in a flood", Begin: func(w *pump.World) {
 			sendFlood(w, "/urgent", 30)
@@ -46,6 +47,18 @@
 	}
 }
 
+// stopUnderOpenConnections stops a node whose callers go on using their connections, with requests that take long.
+func stopUnderOpenConnections(w *pump.World) {
+	for _, n := range w.Nodes() {
+		n.Backend.ServiceTime = 2500 * time.Millisecond
+	}
+	sendRequest(w, Ingress, "r0", "/report", "", false)
+	w.After(10*time.Millisecond, w.Node(Ingress).Stop)
+	for i := range 14 {
+		w.After(time.Duration(i+1)*400*time.Millisecond, func() { sendOnOpenConnection(w, Ingress, fmt.Sprint("late", i), "/report") })
+	}
+}
+
 // repeatKeyAmongSixNodes sends a key at four of six nodes within 50 ms.
 func repeatKeyAmongSixNodes(w *pump.World) {
 	sendFirstRequest(w, Ingress, "r1", "/dues", "k1")
--- a/internal/faultmatrix/faults.go
+++ b/internal/faultmatrix/faults.go
@@ -111,6 +111,11 @@
 priority = 1
 timeout = 2s
 key_retention = 10s
+[route report]
+path = /report
+pool = stitchroom
+priority = 1
+timeout = 4s
 [route download]
 path = /download
 pool = stitchroom
--- a/internal/faultmatrix/scenarios.go
+++ b/internal/faultmatrix/scenarios.go
@@ -163,6 +163,11 @@
 	w.Request(w.Node(node), r, reducer.CallArrived{Host: "callers", Method: "POST", Path: path})
 }
 
+// sendOnOpenConnection sends a request that is not idempotent on a connection that was opened before.
+func sendOnOpenConnection(w *pump.World, node reducer.NodeID, id, path string) {
+	w.RequestOnOpenConnection(w.Node(node), invariant.Request{ID: id}, reducer.CallArrived{Host: "callers", Method: "POST", Path: path})
+}
+
 // sendPipelined sends a request behind another one on its connection.
 func sendPipelined(w *pump.World, node reducer.NodeID, id, path string, idempotent bool) {
 	r := invariant.Request{ID: id, Idempotent: idempotent}
--- a/internal/invariant/history.go
+++ b/internal/invariant/history.go
@@ -83,6 +83,7 @@
 	Activations      []Activation
 	Accepted         []tables.Document                   // valid documents that were written to the store
 	DrainingSince    map[reducer.NodeID]time.Duration    // when the backend server started to drain or deregistered
+	CutByKill        []string                            // ids of the requests that arrived late in a graceful shutdown and were open at its end
 	InProgressAtStop map[reducer.NodeID][]string         // ids of the requests in progress when a graceful shutdown began
 	FinalVersions    map[reducer.NodeID]tables.VersionID // active versions of the running nodes at the end
 	ExpectedVersion  tables.VersionID                    // the version that must be active at the end
@@ -249,6 +250,9 @@
 	for _, id := range h.AbortedByStop {
 		c.report(GracefulStop, "request %s was still running when the process ended", id)
 	}
+	for _, id := range h.CutByKill {
+		c.report(GracefulStop, "request %s was accepted late in a graceful shutdown and cut at its end", id)
+	}
 	for node, requests := range h.InProgressAtStop {
 		for _, id := range requests {
 			a, ok := answers[id]
--- a/internal/pump/faults.go
+++ b/internal/pump/faults.go
@@ -101,11 +101,25 @@
 	}
 }
 
-// Stop starts a graceful shutdown.
+// Times of a graceful shutdown. The platform kills a process that has not ended after StopGrace. A request that arrives by
+// lateRequestAfter may be cut then: its caller could not know that the node leaves.
+const (
+	ShutdownTimeout  = 5 * time.Second
+	StopGrace        = 6 * time.Second
+	lateRequestAfter = 3 * time.Second
+)
+
+// Stop starts a graceful shutdown. The process is killed after StopGrace.
 func (n *Node) Stop() {
 	if !n.Up {
 		return
 	}
+	stoppedAt, processSeq := n.world.Now, n.processSeq
+	n.world.After(StopGrace, func() {
+		if n.processSeq == processSeq {
+			n.killAfterGrace(stoppedAt)
+		}
+	})
 	for _, id := range n.world.callIDs() {
 		if n.world.calls[id].node == n {
 			n.world.History.InProgressAtStop[n.ID] = append(n.world.History.InProgressAtStop[n.ID], id)
@@ -114,6 +128,17 @@
 	n.post(0, reducer.ShutdownRequested{})
 }
 
+// killAfterGrace kills a process whose graceful shutdown began at stoppedAt and has not ended. Requests that arrived late are
+// recorded unless the run was disrupted: a process that was paused may not even have read them.
+func (n *Node) killAfterGrace(stoppedAt time.Duration) {
+	for _, id := range n.world.callIDs() {
+		if call := n.world.calls[id]; call.node == n && call.sentAt > stoppedAt+lateRequestAfter && !n.world.History.Disrupted {
+			n.world.History.CutByKill = append(n.world.History.CutByKill, id)
+		}
+	}
+	n.Kill()
+}
+
 // DrainBackend makes the backend server register as draining.
 func (n *Node) DrainBackend() {
 	if !n.Up || n.Backend.Draining || !n.Backend.Up {
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -116,6 +116,7 @@
 	node    *Node
 	handle  reducer.Handle
 	arrived reducer.CallArrived // repeated after PostponeCall
+	sentAt  time.Duration
 }
 
 // New returns a world without nodes. All random numbers are derived from the seed.
@@ -180,12 +181,19 @@
 	}
 	n.State = reducer.New(reducer.Config{
 		Self: n.ID, Zone: n.Zone, Address: address(n.ID), Operator: address(n.ID), Incarnation: n.incarnation,
-		Seeds: seeds, Discover: true, Limits: reducer.DefaultLimits(),
+		Seeds: seeds, Discover: true, Limits: reducer.DefaultLimits(), Tunables: tunables(),
 	})
 	n.post(0, reducer.TimerDue{})
 	n.scheduleRegistration(0)
 }
 
+// tunables returns the settings of all nodes.
+func tunables() reducer.Tunables {
+	t := reducer.DefaultTunables()
+	t.ShutdownTimeout = ShutdownTimeout
+	return t
+}
+
 // scheduleRegistration registers the backend server after a delay, and then every RegistrationInterval.
 func (n *Node) scheduleRegistration(delay time.Duration) {
 	n.after(delay, func() {
@@ -205,16 +213,26 @@
 	}
 }
 
-// Request sends a request of a caller to a node and records it in the history. It fills in the handle and the
-// idempotency key of arrived.
+// Request sends a request of a caller on a new connection to a node and records it in the history. It fills in the handle
+// and the idempotency key of arrived.
 func (w *World) Request(node *Node, request invariant.Request, arrived reducer.CallArrived) {
+	w.request(node, request, arrived, !node.listenerClosed)
+}
+
+// RequestOnOpenConnection is Request on a connection that the caller has opened before. It reaches the node until the
+// process ends: a listener that is closed keeps its connections.
+func (w *World) RequestOnOpenConnection(node *Node, request invariant.Request, arrived reducer.CallArrived) {
+	w.request(node, request, arrived, !node.stopping)
+}
+
+func (w *World) request(node *Node, request invariant.Request, arrived reducer.CallArrived, connected bool) {
 	w.History.Requests = append(w.History.Requests, request)
-	if !node.Up || node.listenerClosed {
+	if !node.Up || !connected {
 		w.History.Disconnected[request.ID] = true
 		return
 	}
 	handle := node.addGoroutine(&goroutine{request: request})
-	call := &callerCall{request: request, node: node, handle: handle}
+	call := &callerCall{request: request, node: node, handle: handle, sentAt: w.Now}
 	node.traffic[handle].caller = call
 	w.calls[request.ID] = call
 	arrived.Call = handle
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -131,6 +131,8 @@
 		return tables.Route{}, ReasonNoRoute
 	case route.Unsupported != "":
 		return *route, ReasonUnsupportedRoute
+	case s.shutdown.mayEndBefore(s.now + callTimeout(in, route)):
+		return *route, ReasonLeaving
 	case in.Depth >= MaxDepth:
 		return *route, ReasonTooDeep
 	case in.BodyBytes > route.MaxBodyBytes:
@@ -156,12 +158,17 @@
 	return declared
 }
 
+// callTimeout returns the time of a new call: that of its route, unless the caller waits less.
+func callTimeout(in CallArrived, route *tables.Route) time.Duration {
+	if in.Timeout > 0 {
+		return min(in.Timeout, route.Timeout)
+	}
+	return route.Timeout
+}
+
 // newIngressCall adds an admitted call and reserves memory for its body.
 func (s *State) newIngressCall(in CallArrived, route tables.Route) *ingressCall {
-	timeout := route.Timeout
-	if in.Timeout > 0 && in.Timeout < timeout {
-		timeout = in.Timeout
-	}
+	timeout := callTimeout(in, &route)
 	s.ingress.seq++
 	call := &ingressCall{
 		handle:        in.Call,
--- a/reducer/shutdown.go
+++ b/reducer/shutdown.go
@@ -30,6 +30,14 @@
 // refusesForwardedCalls reports whether this node refuses calls that peers forward.
 func (d *shutdownState) refusesForwardedCalls() bool { return d.phase != phaseServing }
 
+// mayEndBefore reports whether the process may end before a call that arrives now has used up its time. A call is still
+// taken in phaseLameDuck: most end long before their timeout, and the caller has not noticed yet that the node leaves.
+// Later only callers with open connections send calls, and calls that the backend server makes for the work that it
+// finishes.
+func (d *shutdownState) mayEndBefore(deadline time.Duration) bool {
+	return d.phase > phaseLameDuck && deadline > d.deadline
+}
+
 func (d *shutdownState) ownMemberState() MemberState {
 	switch d.phase {
 	case phaseServing:
