reducer: keep each incarnation's deregistration, until the store has it

After a restart of its node a registration that arrived 4 s late put it into use again: requests reached it until it exited, and were cut.

Cause: the node wrote no deregistration when the newest stored one had the same instance; an instance does not name an incarnation. The restarted node read the first one, which is older than the second incarnation. That the store lost the record, or that the node did not ask, was ruled out: the store was sound, and the node asks for any incarnation that started before its process.

Change: a deregistration says up to which start it applies: that of the incarnation that sent it or, when it names none, the later of its arrival and the start of the one held. Writing it is left out only if a stored one applies to as much. One that the store did not take is written every 0.5 s until it is stored, for a minute at most.

Why it works: what a restarted node reads applies to the incarnation that left last, whatever left before under its name.

Evidence: TestEachIncarnationStoresItsDeregistration and TestUnstoredDeregistrationIsWrittenAgain failed on the code before and pass, as does the new scenario of the fault matrix, backend server leaves twice under one name (I7). The matrix named each incarnation differently and restarted backend servers with their nodes only; now an instance is kept, and both restart apart. A deregistration that is not acknowledged is sent again there, as backend servers do.

--- a/internal/faultmatrix/combined.go
+++ b/internal/faultmatrix/combined.go
@@ -43,10 +43,27 @@
 			w.After(15*time.Millisecond, w.Node(Target).DeregisterBackend)
 			w.After(25*time.Millisecond, func() { sendFlood(w, "/bulk", 30) })
 		}, Length: 700 * time.Millisecond, Sampled: true},
+		{Name: "backend server leaves twice under one name", Begin: leaveTwice, Length: 9 * time.Second, Sampled: true},
 		regionsScenario,
 	}
 }
 
+// leaveTwice lets a backend server leave, start again under its instance and leave again. Then the process of its node is
+// killed, and a registration from before the second leave arrives.
+func leaveTwice(w *pump.World) {
+	target := w.Node(Target)
+	target.DeregisterBackend()
+	w.After(time.Second, target.RestartBackend)
+	w.After(3*time.Second, func() {
+		target.DelayRegistration(2500 * time.Millisecond)
+		target.DeregisterBackend()
+	})
+	w.After(4*time.Second, target.RestartProcess)
+	for i := range 30 {
+		w.After(time.Duration(5500+100*i)*time.Millisecond, func() { sendRequest(w, Ingress, fmt.Sprint("r", i), "/dues", "", false) })
+	}
+}
+
 // stopUnderOpenConnections stops a node whose callers go on using their connections, with requests that take long.
 func stopUnderOpenConnections(w *pump.World) {
 	for _, n := range w.Nodes() {
--- a/internal/pump/faults.go
+++ b/internal/pump/faults.go
@@ -152,19 +152,64 @@
 // lateRegistrationDelay is the time from a deregistration to the arrival of a registration that was sent before it.
 const lateRegistrationDelay = 500 * time.Millisecond
 
-// DeregisterBackend makes the backend server deregister without draining first. A registration that it sent before
-// arrives after the deregistration.
+// leaveRetryInterval is how long a backend server waits for the acknowledgement of its deregistration before it sends it
+// again.
+const leaveRetryInterval = time.Second
+
+// DeregisterBackend makes the backend server deregister without draining first, until that is acknowledged. A registration
+// that it sent before arrives after the deregistration.
 func (n *Node) DeregisterBackend() {
 	if !n.Up || n.Backend.Draining || !n.Backend.Up {
 		return
 	}
 	late := n.registration()
 	n.Backend.Draining, n.Backend.deregistered = true, true
-	n.world.History.DrainingSince[n.ID] = n.world.Now
-	n.post(0, reducer.BackendDeregistered{Instance: late.Instance, Born: late.Born})
+	n.sendDeregistration(late.Instance, late.Born)
 	n.after(lateRegistrationDelay, func() { n.reduce(late) })
 }
 
+// sendDeregistration sends a deregistration, and again if the process of the node ends before it acknowledges it.
+func (n *Node) sendDeregistration(instance string, born int64) {
+	if n.Backend.born != born || !n.Backend.Up {
+		return
+	}
+	n.world.History.DrainingSince[n.ID] = n.world.Now
+	processSeq, acknowledged := n.processSeq, false
+	exchange := n.addGoroutine(&goroutine{onAcknowledged: func() { acknowledged = true }})
+	n.post(0, reducer.BackendDeregistered{Instance: instance, Born: born, Exchange: exchange})
+	n.world.After(leaveRetryInterval, func() {
+		if !acknowledged && n.processSeq != processSeq {
+			n.sendDeregistration(instance, born)
+		}
+	})
+}
+
+// RestartBackend ends the backend server, unless it runs requests, and starts it again under its instance.
+func (n *Node) RestartBackend() {
+	if n.Up && n.Backend.Up && n.Backend.Running == 0 {
+		n.beginBackendLife()
+	}
+}
+
+// RestartProcess kills the process of a node and starts it again at once, beside a backend server that continues to run.
+func (n *Node) RestartProcess() {
+	if !n.Up {
+		return
+	}
+	n.Kill()
+	n.startProcess()
+}
+
+// DelayRegistration sends a registration that arrives after the given time, whatever process of the node runs then.
+func (n *Node) DelayRegistration(delay time.Duration) {
+	late := n.registration()
+	n.world.After(delay, func() {
+		if n.Up && !n.Paused {
+			n.reduce(late)
+		}
+	})
+}
+
 // KillBackend ends the backend server. The requests that it runs fail with an unknown outcome.
 func (n *Node) KillBackend() {
 	n.Backend.Up = false
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -73,8 +73,12 @@
 	case reducer.StopProcess:
 		n.stopping = true
 		n.endWhenIdle()
-	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus,
-		reducer.AcknowledgeBackend:
+	case reducer.AcknowledgeBackend:
+		if g := n.traffic[e.Exchange]; g != nil {
+			g.onAcknowledged()
+			delete(n.traffic, e.Exchange)
+		}
+	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus:
 		// These effects are not visible to other nodes or callers.
 	default:
 		if !n.world.Store.perform(n, effect) {
--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -116,9 +116,9 @@
 	case reducer.ListNodes:
 		s.call(n, reducer.NodesListed{Result: reducer.StoreUnknown}, s.list)
 	case reducer.StoreDeregistration:
-		s.call(n, reducer.DeregistrationStored{Exchange: e.Exchange, Result: reducer.StoreUnknown}, func() reducer.Input {
+		s.call(n, reducer.DeregistrationStored{Exchange: e.Exchange, Instance: e.Instance, At: e.At, Result: reducer.StoreUnknown}, func() reducer.Input {
 			s.deregisteredAt[e.Instance] = e.At
-			return reducer.DeregistrationStored{Exchange: e.Exchange, Result: reducer.StoreOK}
+			return reducer.DeregistrationStored{Exchange: e.Exchange, Instance: e.Instance, At: e.At, Result: reducer.StoreOK}
 		})
 	case reducer.ReadDeregistration:
 		s.call(n, reducer.DeregistrationRead{Instance: e.Instance, Result: reducer.StoreUnknown}, func() reducer.Input {
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -97,17 +97,19 @@
 
 // goroutine stands for a traffic goroutine of a node. It holds the data of one call or exchange.
 type goroutine struct {
-	request       invariant.Request
-	caller        *callerCall    // nil for a forwarded call
-	forwarder     reducer.NodeID // the peer that forwarded the call
-	onAnswer      func(answer reducer.AnswerForward, response invariant.Request)
-	onSettled     func(answer reducer.AnswerSettle, response invariant.Request)
-	onAccepted    func(bool)
-	onGrowth      func(allowed bool)
-	responses     map[int]invariant.Request // by attempt
-	localResponse invariant.Request
-	running       bool
-	streaming     bool // the first part of the response has arrived
+	request    invariant.Request
+	caller     *callerCall    // nil for a forwarded call
+	forwarder  reducer.NodeID // the peer that forwarded the call
+	onAnswer   func(answer reducer.AnswerForward, response invariant.Request)
+	onSettled  func(answer reducer.AnswerSettle, response invariant.Request)
+	onAccepted func(bool)
+	onGrowth   func(allowed bool)
+
+	onAcknowledged func()
+	responses      map[int]invariant.Request // by attempt
+	localResponse  invariant.Request
+	running        bool
+	streaming      bool // the first part of the response has arrived
 }
 
 // callerCall is a request whose caller waits for the answer.
@@ -156,11 +158,26 @@
 
 func address(id reducer.NodeID) string { return "10.0.0.1:" + string(id) }
 
-// Start starts a node that is down, with empty state and a new incarnation. It has no effect on a running node.
+// Start starts a node that is down, with empty state and a new incarnation, and its backend server anew. It has no effect
+// on a running node.
 func (n *Node) Start() {
 	if n.Up {
 		return
 	}
+	n.startProcess()
+	n.beginBackendLife()
+}
+
+// beginBackendLife starts the backend server again. It keeps its instance and has forgotten everything else.
+func (n *Node) beginBackendLife() {
+	n.Backend.Draining, n.Backend.deregistered = false, false
+	n.Backend.sequence = 0
+	n.Backend.born = startUnixSeconds*int64(time.Second/time.Millisecond) + n.world.Now.Milliseconds()
+	delete(n.world.History.DrainingSince, n.ID)
+}
+
+// startProcess starts the process of a node beside a backend server that continues to run.
+func (n *Node) startProcess() {
 	w := n.world
 	n.Up, n.Paused, n.listenerClosed, n.stopping = true, false, false, false
 	n.processSeq++
@@ -170,9 +187,6 @@
 	n.keptResponses = map[reducer.Handle]invariant.Request{}
 	n.deferred = nil
 	n.Backend.Running = 0
-	n.Backend.Draining, n.Backend.deregistered = false, false
-	n.Backend.born = int64(n.incarnation) / int64(time.Millisecond)
-	delete(w.History.DrainingSince, n.ID)
 	var seeds []string
 	for _, other := range w.Nodes() {
 		if other.ID != n.ID {
@@ -209,7 +223,7 @@
 	n.Backend.sequence++
 	return reducer.BackendRegistered{
 		Service: n.Service, Address: "10.0.0.2:" + string(n.ID), Slots: n.Backend.Slots, Draining: n.Backend.Draining,
-		Instance: fmt.Sprintf("%s-%d", n.ID, n.Backend.born), Born: n.Backend.born, Sequence: n.Backend.sequence,
+		Instance: string(n.ID), Born: n.Backend.born, Sequence: n.Backend.sequence,
 	}
 }
 
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -189,11 +189,12 @@
 	Entry NodeEntry
 }
 
-// StoreDeregistration stores for the duration of TTL that an incarnation of the backend server has deregistered.
+// StoreDeregistration stores for the duration of TTL that the incarnations of the backend server that started up to a time
+// have deregistered. DeregistrationStored reports the result.
 type StoreDeregistration struct {
-	Exchange Handle
+	Exchange Handle // that waits for it; 0 when none does
 	Instance string
-	At       int64 // time of the deregistration in Unix milliseconds
+	At       int64 // latest start of such an incarnation in Unix milliseconds
 	TTL      time.Duration
 }
 
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -215,6 +215,8 @@
 // DeregistrationStored reports the result of a StoreDeregistration effect.
 type DeregistrationStored struct {
 	Exchange Handle
+	Instance string
+	At       int64
 	Result   StoreResult
 }
 
@@ -222,7 +224,7 @@
 // backend server has deregistered, StoreAbsent when it has not.
 type DeregistrationRead struct {
 	Instance string
-	At       int64 // time of the deregistration in Unix milliseconds
+	At       int64 // latest start of an incarnation that has deregistered, in Unix milliseconds
 	Result   StoreResult
 }
 
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -12,6 +12,8 @@
 	// deregistrationStoreTimeout bounds the wait for the store before a deregistration is acknowledged. Backend servers
 	// wait 1 s for the acknowledgement; without one they keep serving although no node knows that they are stopping.
 	deregistrationStoreTimeout = 400 * time.Millisecond
+	// deregistrationRetryInterval is the pause after which a deregistration that was not stored is written again.
+	deregistrationRetryInterval = 500 * time.Millisecond
 )
 
 // backendIncarnation identifies one run of a backend server process.
@@ -27,14 +29,27 @@
 type registrationState struct {
 	incarnation backendIncarnation
 	sequence    uint64 // newest of this incarnation
-	// deregisteredAt holds the time of each deregistration by instance, in Unix milliseconds by this node's clock. Not
-	// every deregistration names its incarnation: it applies to those of the instance that started before it.
+	// deregisteredAt holds the newest deregistration by instance; see deregistration.
 	deregisteredAt map[string]int64
 	// unconfirmed is a registration of an incarnation whose deregistration an earlier process of this node may have
 	// acknowledged.
 	unconfirmed            *BackendRegistered
-	storedDeregistration   string            // instance of the newest deregistration in the platform's store
-	pendingDeregistrations map[Handle]string // instances of deregistrations that are not acknowledged until they are stored
+	stored                 deregistration            // the newest one that the platform's store keeps
+	unstored               deregistration            // the newest one that the store has not confirmed; zero when there is none
+	unstoredSince          time.Duration             // when it arrived
+	pendingDeregistrations map[Handle]deregistration // not acknowledged until they are stored
+}
+
+// deregistration says that the incarnations of an instance that started up to a time have deregistered. A backend server may
+// start again under its instance, so that the instance alone names no incarnation.
+type deregistration struct {
+	instance string
+	at       int64 // in Unix milliseconds: the start of the incarnation or, when it is not named, the arrival
+}
+
+// covers reports whether d applies to all incarnations that other applies to.
+func (d deregistration) covers(other deregistration) bool {
+	return d.instance == other.instance && d.at >= other.at
 }
 
 // isOutdated reports whether a registration is older than the newest one.
@@ -125,6 +140,9 @@
 	before := *b
 	incarnation := backendIncarnation{in.Instance, in.Born}
 	isNew := r.incarnation != incarnation || b.address != in.Address
+	if r.incarnation != incarnation {
+		r.stored = deregistration{} // it does not apply to a new incarnation
+	}
 	if isNew || b.state != UpstreamReady && b.state != UpstreamDraining {
 		b.readySince = s.now
 	}
@@ -152,12 +170,29 @@
 // stored and acknowledged like a deregistration.
 func (s *State) acknowledgeRegistration(in BackendRegistered) {
 	if in.Draining {
-		s.storeDeregistration(in.Exchange, in.Instance)
+		s.storeDeregistration(in.Exchange, s.deregistrationOf(in.Instance, in.Born))
 		return
 	}
 	s.acknowledge(in.Exchange)
 }
 
+// deregistrationOf returns the deregistration of an incarnation; born is 0 when its message does not name it. Then it applies
+// to all that have started by now, and to the one held, whose clock may be ahead. A message that is repeated is the same
+// deregistration.
+func (s *State) deregistrationOf(instance string, born int64) deregistration {
+	r := &s.registration
+	switch {
+	case born != 0:
+		return deregistration{instance, born}
+	case r.stored.instance == instance:
+		return r.stored
+	case r.incarnation.instance == instance:
+		return deregistration{instance, max(s.wallClockMillis(), r.incarnation.born)}
+	default:
+		return deregistration{instance, s.wallClockMillis()}
+	}
+}
+
 // handleBackendDeregistered applies a deregistration. One of an unknown backend server is remembered as well, because
 // an earlier registration may still arrive.
 func (s *State) handleBackendDeregistered(in BackendDeregistered) {
@@ -167,22 +202,23 @@
 		s.acknowledge(in.Exchange)
 		return
 	}
-	s.markDeregistered(in.Instance, s.wallClockMillis())
-	s.storeDeregistration(in.Exchange, in.Instance)
+	d := s.deregistrationOf(in.Instance, in.Born)
+	s.markDeregistered(d.instance, d.at)
+	s.storeDeregistration(in.Exchange, d)
 }
 
 // maxRememberedDeregistrations bounds the remembered deregistrations. One instance has few of them in a minute, the
 // longest time by which a registration may be late.
 const maxRememberedDeregistrations = 32
 
-// markDeregistered records a deregistration at a time in Unix milliseconds. Its backend server gets no new calls.
+// markDeregistered records a deregistration. Its backend server gets no new calls.
 func (s *State) markDeregistered(instance string, at int64) {
 	b, r := &s.backend, &s.registration
 	before := *b
 	if r.deregisteredAt == nil || len(r.deregisteredAt) >= maxRememberedDeregistrations {
 		r.deregisteredAt = map[string]int64{}
 	}
-	r.deregisteredAt[instance] = at
+	r.deregisteredAt[instance] = max(r.deregisteredAt[instance], at)
 	if r.unconfirmed != nil && r.unconfirmed.Instance == instance {
 		r.unconfirmed = nil
 	}
@@ -194,29 +230,50 @@
 
 // storeDeregistration writes a deregistration to the platform's store, because this process may end before the backend
 // server does, and acknowledges it once it is stored or deregistrationStoreTimeout has passed.
-func (s *State) storeDeregistration(exchange Handle, instance string) {
+func (s *State) storeDeregistration(exchange Handle, d deregistration) {
 	r := &s.registration
-	if !s.cfg.Discover || r.storedDeregistration == instance {
+	if !s.cfg.Discover || r.stored.covers(d) {
 		s.acknowledge(exchange)
 		return
 	}
 	if r.pendingDeregistrations == nil {
-		r.pendingDeregistrations = map[Handle]string{}
+		r.pendingDeregistrations = map[Handle]deregistration{}
 	}
-	r.pendingDeregistrations[exchange] = instance
+	r.pendingDeregistrations[exchange] = d
 	s.timers.set(timerKey{kind: timerDeregistrationAck, call: exchange}, s.now+deregistrationStoreTimeout)
-	s.emit(StoreDeregistration{Exchange: exchange, Instance: instance, At: s.wallClockMillis(), TTL: deregistrationTTL})
+	s.emit(StoreDeregistration{Exchange: exchange, Instance: d.instance, At: d.at, TTL: deregistrationTTL})
 }
 
+// handleDeregistrationStored acknowledges a deregistration that is stored. One that is not is acknowledged after
+// deregistrationStoreTimeout and written again, since this process may end before the backend server does.
 func (s *State) handleDeregistrationStored(in DeregistrationStored) {
+	r, d := &s.registration, deregistration{in.Instance, in.At}
 	if in.Result != StoreOK {
-		s.log(LevelWarn, "leave of the backend server is not kept", Field{"instance", s.registration.pendingDeregistrations[in.Exchange]})
-		return // acknowledged after deregistrationStoreTimeout
+		s.log(LevelWarn, "leave of the backend server is not kept", Field{"instance", in.Instance}, Field{"born", in.At})
+		if r.unstored != d {
+			r.unstored, r.unstoredSince = d, s.now
+		}
+		s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now+deregistrationRetryInterval)
+		return
+	}
+	if !r.stored.covers(d) {
+		r.stored = d
+	}
+	if d.covers(r.unstored) {
+		r.unstored = deregistration{}
 	}
-	s.registration.storedDeregistration = s.registration.pendingDeregistrations[in.Exchange]
 	s.acknowledgeDeregistration(in.Exchange)
 }
 
+// retryDeregistration writes the deregistration that is not stored again, for as long as the store would keep it.
+func (s *State) retryDeregistration() {
+	r := &s.registration
+	if r.unstored.instance == "" || s.now-r.unstoredSince > deregistrationTTL {
+		return
+	}
+	s.emit(StoreDeregistration{Instance: r.unstored.instance, At: r.unstored.at, TTL: deregistrationTTL})
+}
+
 // acknowledgeDeregistration acknowledges a deregistration, unless that has been done.
 func (s *State) acknowledgeDeregistration(exchange Handle) {
 	if _, waiting := s.registration.pendingDeregistrations[exchange]; !waiting {
--- a/reducer/registration_test.go
+++ b/reducer/registration_test.go
@@ -86,7 +86,7 @@
 	d := newTestRegistrar(t)
 	d.now = 500 * time.Millisecond
 	d.reduce(BackendDeregistered{Instance: "a", Exchange: 8})
-	d.reduce(DeregistrationStored{Exchange: 8, Result: StoreUnknown})
+	d.reduce(DeregistrationStored{Exchange: 8, Instance: "a", Result: StoreUnknown})
 	d.now = 3 * time.Second
 	d.register("a", born, 13, false)
 	d.reduce(DeregistrationRead{Instance: "a", Result: StoreAbsent})
@@ -110,7 +110,7 @@
 		t.Error("a deregistration is acknowledged before it is stored")
 	}
 	d.expectState("after the deregistration", UpstreamDraining)
-	d.reduce(DeregistrationStored{Exchange: 8, Result: StoreOK})
+	d.reduce(DeregistrationStored{Exchange: 8, Instance: "a", At: born, Result: StoreOK})
 	if ack, _ := findEffect[AcknowledgeBackend](d); ack.Exchange != 8 {
 		t.Error("a stored deregistration is not acknowledged")
 	}
@@ -165,3 +165,59 @@
 	d.register("a", born, 11, false)
 	d.expectState("a later registration while the store is unavailable", UpstreamReady)
 }
+
+// Guards against the deregistration of a backend server that started again under its instance and is not stored, because one
+// of an earlier incarnation is: after a restart of the node a late registration put it into use again.
+func TestEachIncarnationStoresItsDeregistration(t *testing.T) {
+	const first, second = processStart + 1, processStart + 2000
+	for name, leave := range map[string]func(d *testRegistrar, born int64){
+		"deregisters": func(d *testRegistrar, born int64) {
+			d.reduce(BackendDeregistered{Instance: "a", Born: born, Exchange: 8})
+		},
+		"deregisters without its start": func(d *testRegistrar, _ int64) { d.reduce(BackendDeregistered{Instance: "a", Exchange: 8}) },
+		"drains":                        func(d *testRegistrar, born int64) { d.register("a", born, 9, true) },
+	} {
+		d := newTestRegistrar(t)
+		for _, born := range []int64{first, second} {
+			d.register("a", born, 1, false)
+			leave(d, born)
+			stored, ok := findEffect[StoreDeregistration](d)
+			if !ok || stored.At < born {
+				t.Errorf("%s: the deregistration of the incarnation of %d is stored as %+v (%v)", name, born, stored, ok)
+			}
+			d.reduce(DeregistrationStored{Exchange: stored.Exchange, Instance: "a", At: stored.At, Result: StoreOK})
+			d.now += time.Second
+			leave(d, born)
+			if _, again := findEffect[StoreDeregistration](d); again {
+				t.Errorf("%s: a stored deregistration is written again", name)
+			}
+		}
+	}
+}
+
+// Guards against a deregistration that the store did not take and that is not written again: the process may end while the
+// backend server goes on.
+func TestUnstoredDeregistrationIsWrittenAgain(t *testing.T) {
+	const born = processStart + 1
+	d := newTestRegistrar(t)
+	d.register("a", born, 1, false)
+	d.reduce(BackendDeregistered{Instance: "a", Born: born, Exchange: 8})
+	d.reduce(DeregistrationStored{Exchange: 8, Instance: "a", At: born, Result: StoreUnknown})
+	for i := range 3 {
+		d.now += deregistrationRetryInterval
+		d.reduce(TimerDue{})
+		retry, ok := findEffect[StoreDeregistration](d)
+		if !ok || retry.Instance != "a" || retry.At != born {
+			t.Fatalf("retry %d writes %+v (%v)", i, retry, ok)
+		}
+		d.reduce(DeregistrationStored{Instance: "a", At: born, Result: StoreUnknown})
+	}
+	d.now += deregistrationRetryInterval
+	d.reduce(TimerDue{})
+	d.reduce(DeregistrationStored{Instance: "a", At: born, Result: StoreOK})
+	d.now += 10 * deregistrationRetryInterval
+	d.reduce(TimerDue{})
+	if _, again := findEffect[StoreDeregistration](d); again {
+		t.Error("a stored deregistration is written again")
+	}
+}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -227,6 +227,8 @@
 		s.watchStore()
 	case timerDeregistrationAck:
 		s.acknowledgeDeregistration(key.call)
+	case timerDeregistrationRetry:
+		s.retryDeregistration()
 	case timerReaderCheck:
 		s.checkReader()
 	case timerAnnounceNode:
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -22,6 +22,7 @@
 	timerStoreWatch
 	timerReaderCheck
 	timerDeregistrationAck
+	timerDeregistrationRetry
 	timerAnnounceNode
 	timerListNodes
 	timerStartupFetch
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -74,7 +74,7 @@
 		})
 	case reducer.StoreDeregistration:
 		r.run(callTimeout, func(ctx context.Context) reducer.Input {
-			return reducer.DeregistrationStored{Exchange: e.Exchange, Result: r.storeDeregistration(ctx, e)}
+			return reducer.DeregistrationStored{Exchange: e.Exchange, Instance: e.Instance, At: e.At, Result: r.storeDeregistration(ctx, e)}
 		})
 	case reducer.ReadDeregistration:
 		r.run(callTimeout, func(ctx context.Context) reducer.Input { return r.readDeregistration(ctx, e) })
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -168,7 +168,7 @@
 func TestDeregistrationIsStored(t *testing.T) {
 	f := newFixture(t)
 	stored := f.perform(t, reducer.StoreDeregistration{Exchange: 7, Instance: "i-1", At: 1234, TTL: time.Minute}).(reducer.DeregistrationStored)
-	if stored != (reducer.DeregistrationStored{Exchange: 7, Result: reducer.StoreOK}) {
+	if stored != (reducer.DeregistrationStored{Exchange: 7, Instance: "i-1", At: 1234, Result: reducer.StoreOK}) {
 		t.Errorf("storing the deregistration: %+v", stored)
 	}
 	for _, want := range []reducer.DeregistrationRead{
