reducer, runner/backend: a registration that cannot be ordered changes nothing

Cause: isOutdated took a missing start or sequence for newer than any.

Change: one that lacks what the newest registration has counts as older. On the users' platform, where each has a sequence, one without it is refused with 400. Backend servers that never send the two fields are ordered by arrival as before.

Evidence: TestRegistrationThatCannotBeOrderedChangesNothing and the two new bodies of TestInvalidRegistrationsAreRefused failed before and pass; reducer, runner/backend and node pass.

--- a/node/node.go
+++ b/node/node.go
@@ -152,7 +152,9 @@
 		Front: front, Tracer: n.tracer, Logger: n.logger, Workers: n.workers, OnRefused: n.metrics.CallerRefused,
 	})
 	n.store = store.New(kv, source, n.thread.Post)
-	registrations := backend.RegisterHandler(n.thread, n.mailboxes, backend.Expected{Service: s.Backend.Service, Address: s.Backend.Address})
+	registrations := backend.RegisterHandler(n.thread, n.mailboxes, backend.Expected{
+		Service: s.Backend.Service, Address: s.Backend.Address, Ordered: s.Platform.Mode == settings.ModeHosted,
+	})
 	n.registerServer = &http.Server{Handler: registrations, ReadTimeout: registerTimeout, WriteTimeout: registerTimeout}
 	var err error
 	if n.operator, err = operator.New(n.thread, n.mailboxes, n.metrics); err != nil {
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -52,15 +52,16 @@
 	return d.instance == other.instance && d.at >= other.at
 }
 
-// isOutdated reports whether a registration is older than the newest one.
+// isOutdated reports whether a registration is older than the newest one. One without a start time or a sequence that the
+// newest one has cannot be ordered, and counts as older: it comes from another writer.
 func (r *registrationState) isOutdated(in BackendRegistered) bool {
 	switch {
 	case in.Born != r.incarnation.born:
-		return in.Born < r.incarnation.born && in.Born != 0
+		return in.Born < r.incarnation.born
 	case in.Instance != r.incarnation.instance:
 		return false
 	default:
-		return in.Sequence != 0 && in.Sequence <= r.sequence
+		return in.Sequence <= r.sequence && r.sequence != 0
 	}
 }
 
--- a/reducer/registration_test.go
+++ b/reducer/registration_test.go
@@ -221,3 +221,20 @@
 		t.Error("a stored deregistration is written again")
 	}
 }
+
+// Guards against a registration of another writer, without a start time or a sequence, that puts a draining backend server
+// into use again.
+func TestRegistrationThatCannotBeOrderedChangesNothing(t *testing.T) {
+	const born = processStart + 1
+	for _, odd := range []BackendRegistered{{Born: 0, Sequence: 0}, {Born: 0, Sequence: 99}, {Born: born, Sequence: 0}} {
+		d := newTestRegistrar(t)
+		d.register("a", born, 1, false)
+		d.register("a", born, 2, true)
+		d.register("a", odd.Born, odd.Sequence, false)
+		d.expectState("after an odd registration", UpstreamDraining)
+	}
+	d := newTestRegistrar(t)
+	d.register("a", 0, 0, false)
+	d.register("a", 0, 0, true)
+	d.expectState("without any start time or sequence, in order of arrival", UpstreamDraining)
+}
--- a/runner/backend/register.go
+++ b/runner/backend/register.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -43,6 +44,8 @@
 	// Sequence increases with each registration of an incarnation, so that a delayed one can be recognised.
 	Sequence uint64 `json:"sequence"`
 	Born     int64  `json:"born"` // start of the incarnation in Unix milliseconds; 0 when unknown
+
+	hasSequence bool
 }
 
 // ControlThread accepts events. Post returns false if the control thread has ended.
@@ -54,6 +57,8 @@
 type Expected struct {
 	Service string
 	Address string // IP:port
+	// Ordered requires each registration to have a sequence, without which a late one cannot be told from a new one.
+	Ordered bool
 }
 
 // RegisterHandler returns the handler for RegisterPath and DeregisterPath. It responds when the control thread has
@@ -111,12 +116,18 @@
 
 // readRegistration decodes the request body. It returns io.EOF, not wrapped, for an empty body.
 func readRegistration(r *http.Request) (Registration, error) {
-	var in Registration
+	in := struct {
+		Registration
+		Sequence *uint64 `json:"sequence"` // nil when there is none, which 0 does not tell
+	}{}
 	err := json.NewDecoder(io.LimitReader(r.Body, maxRegistrationBytes)).Decode(&in)
 	if err != nil && err != io.EOF {
 		err = fmt.Errorf("registration cannot be read: %w", err)
 	}
-	return in, err
+	if in.Sequence != nil {
+		in.Registration.Sequence, in.hasSequence = *in.Sequence, true
+	}
+	return in.Registration, err
 }
 
 // validate returns an error that names the first invalid field.
@@ -135,6 +146,8 @@
 		return fmt.Errorf("slots is %d, expected 1 to %d", r.Slots, maxSlots)
 	case r.State != StateReady && r.State != StateDraining:
 		return fmt.Errorf("state is %q, expected %s or %s", r.State, StateReady, StateDraining)
+	case expected.Ordered && !r.hasSequence:
+		return errors.New("sequence is missing, expected a whole number of 0 or more")
 	case r.ColdLeftMs < 0 || r.Born < 0:
 		return fmt.Errorf("cold_left_ms is %d and born is %d, expected 0 or more", r.ColdLeftMs, r.Born)
 	}
--- a/runner/backend/register_test.go
+++ b/runner/backend/register_test.go
@@ -32,7 +32,7 @@
 func TestInvalidRegistrationsAreRefused(t *testing.T) {
 	const good = `{"service":"s","address":"127.0.0.1:9","zone":"z","version":"v1","slots":6,"state":"ready","cold_left_ms":0,"sequence":4,"born":17}`
 	a := &acknowledger{mailboxes: traffic.NewMailboxes()}
-	handler := RegisterHandler(a, a.mailboxes, Expected{Service: "s", Address: "127.0.0.1:9"})
+	handler := RegisterHandler(a, a.mailboxes, Expected{Service: "s", Address: "127.0.0.1:9", Ordered: true})
 	post := func(path, body string) int {
 		w := httptest.NewRecorder()
 		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, path, strings.NewReader(body)))
@@ -41,7 +41,7 @@
 	for _, replace := range [][2]string{
 		{`"service":"s"`, `"service":"other"`}, {`"service":"s",`, ``}, {`"address":"127.0.0.1:9"`, `"address":"127.0.0.2:9"`},
 		{`"address":"127.0.0.1:9"`, `"address":9`}, {`"slots":6`, `"slots":"6"`}, {`"slots":6`, `"slots":0`}, {`"slots":6`, `"slots":6.5`},
-		{`"state":"ready"`, `"state":"asleep"`}, {`"state":"ready"`, `"state":null`}, {`"sequence":4`, `"sequence":-4`},
+		{`"state":"ready"`, `"state":"asleep"`}, {`"state":"ready"`, `"state":null`}, {`"sequence":4`, `"sequence":-4`}, {`"sequence":4,`, ``}, {`"sequence":4`, `"sequence":null`},
 		{`"born":17`, `"born":"17"`}, {`"born":17`, `"born":-17`}, {good, `{`}, {good, ``}, {good, `[]`}, {good, "\x00\xff"},
 	} {
 		if code := post(RegisterPath+"a", strings.Replace(good, replace[0], replace[1], 1)); code != http.StatusBadRequest {
