runner/ingress: send no request on for a caller that has left

Cause: the control thread takes arrivals of calls after all other events, so that under load the event that a caller has left overtakes the arrival of its call; the reducer takes it for one of a call that has ended, and the event is not repeated. A request that waited to be read may also come with the end of its connection behind it, which net/http reports only after the handler began.

Change: before the goroutine of a call sends its request to another node or to the backend server, it looks whether the caller is still connected. If not, it reports that again, and for the backend server a request that was not sent.

Why it works: it is the last place before the request leaves, and the event that it posts there follows the arrival, which the reducer has decided.

Evidence: TestRequestOfALostCallerIsNotSentOn failed before (the request was sent on and the second report did not come) and passes.

--- a/runner/ingress/exchange.go
+++ b/runner/ingress/exchange.go
@@ -32,6 +32,7 @@
 	callSpan      telemetry.Span        // covers the whole call
 	decisionSpan  telemetry.Span        // ends with the first effect
 	waitingSince  time.Time             // start of the wait for the next effect, and of the queue span
+	callerGone    <-chan struct{}       // of the request; nil once it is reported that the caller has left
 }
 
 // attemptResult is the result of an attempt and the event that reports it to the control thread.
@@ -45,7 +46,7 @@
 func (e *exchange) run() answer {
 	e.peerResponses = map[int]*traffic.Response{}
 	e.request = e.server.newRequest(e.r)
-	callerGone := e.r.Context().Done()
+	e.callerGone = e.r.Context().Done()
 	for {
 		select {
 		case effect := <-e.mailbox.Effects:
@@ -61,15 +62,37 @@
 				e.peerResponses[res.attempt] = res.response
 			}
 			e.post(res.input)
-		case <-callerGone:
-			callerGone = nil
-			e.post(reducer.CallerGone{Call: e.mailbox.Handle})
+		case <-e.callerGone:
+			e.reportCallerGone()
 		case <-e.server.Control.Done():
 			return e.answerWithoutControl()
 		}
 	}
 }
 
+// reportCallerGone reports that the caller has left.
+func (e *exchange) reportCallerGone() {
+	e.callerGone = nil
+	e.post(reducer.CallerGone{Call: e.mailbox.Handle})
+}
+
+// hasLostCaller reports whether the caller has left, and reports it again to the reducer: it is checked before a request is
+// sent on, and the event may have overtaken the arrival of the call, which waits behind all other events. The caller may
+// also have left while its request waited to be read, which net/http notices only after the handler has begun.
+func (e *exchange) hasLostCaller() bool {
+	if e.r.Context().Err() == nil {
+		conn, ok := e.r.Context().Value(connKey{}).(*callerConn)
+		if !ok {
+			return false
+		}
+		if _, ended := traffic.Peek(conn.Conn); !ended {
+			return false
+		}
+	}
+	e.reportCallerGone()
+	return true
+}
+
 // answerWithoutControl returns the answer after the control thread has ended: the one that an effect in the mailbox
 // decides, or an unknown outcome if there is none.
 func (e *exchange) answerWithoutControl() answer {
@@ -97,13 +120,15 @@
 	case reducer.ReadBody:
 		e.startBodyRead(effect)
 	case reducer.Forward:
-		e.forward(effect)
+		if !e.hasLostCaller() {
+			e.forward(effect)
+		}
 	case reducer.Probe:
 		e.probe(effect)
 	case reducer.Settle:
 		e.settle(effect)
 	case reducer.StartBackendRequest:
-		e.abortBackend = e.server.starter.Start(e.ctx, effect, e.request, e.waitingSince, &e.localResponse)
+		e.startBackend(effect)
 	case reducer.AbortBackendRequest:
 		e.abortBackend()
 	case reducer.FailCall:
@@ -123,6 +148,16 @@
 	return answer{}, false
 }
 
+// startBackend sends the request to the backend server beside this node, unless the caller has left.
+func (e *exchange) startBackend(effect reducer.StartBackendRequest) {
+	if e.hasLostCaller() {
+		e.abortBackend = func() {}
+		e.post(reducer.BackendRequestDone{Call: effect.Call, Result: reducer.BackendNotSent})
+		return
+	}
+	e.abortBackend = e.server.starter.Start(e.ctx, effect, e.request, e.waitingSince, &e.localResponse)
+}
+
 // startBodyRead reads the body in another goroutine, so that a call whose body arrives slowly can be refused at its
 // deadline.
 func (e *exchange) startBodyRead(effect reducer.ReadBody) {
