reducer, runner/peer: run no call whose cancellation has overtaken it

Cause: a call and its cancellation travel on different connections. A call may wait there, for its turn to be written or for its target to read; the cancellation does not, arrives first, and was ignored. The call was written though its caller had left, and its target was told the time from before the wait. Cancellations themselves waited for the replies to control messages. Not noticing that a caller leaves, and the queue of the target, were ruled out: the traced call ended at its ingress node before it arrived, and a queued call is dropped when it is cancelled.

A cancellation names its attempt. A call that has lost its caller or its time before it is written is not sent, and its target is told the time that is left. Cancellations have a lane of their own.

TestConnectionsAndSendersAreReleased makes its sender with a control message now, since a cancellation no longer needs one.

--- a/internal/faultmatrix/faults.go
+++ b/internal/faultmatrix/faults.go
@@ -65,6 +65,10 @@
 			w.After(lateDeliveryDelay, w.DeliverStalled)
 		}},
 		{"callers leave", func(w *pump.World, _ *pump.Node) { w.DisconnectCallers() }},
+		{"calls slow, callers leave", func(w *pump.World, n *pump.Node) {
+			w.SlowCalls(n.ID, slowCallDelay)
+			w.After(slowCallDelay/10, w.DisconnectCallers)
+		}},
 		{"zone cut off", func(w *pump.World, n *pump.Node) { w.CutZone(n.Zone) }},
 		{"node cut off", func(w *pump.World, n *pump.Node) {
 			for _, other := range w.Nodes() {
@@ -89,6 +93,9 @@
 	}
 }
 
+// slowCallDelay is longer than a request may start after its caller has left.
+const slowCallDelay = 700 * time.Millisecond
+
 // Nodes of all scenarios. Callers send their requests to Ingress, which has no backend server.
 const (
 	Ingress = reducer.NodeID("n1")
--- a/internal/invariant/history.go
+++ b/internal/invariant/history.go
@@ -21,13 +21,14 @@
 	NoWorkAfterDrain = "I7 no new work after draining"
 	GracefulStop     = "I8 graceful stop cuts no request"
 	ActiveEverywhere = "I9 accepted version active everywhere"
+	NoWorkForLost    = "I10 no work for callers that left"
 )
 
 // Names returns the names of the invariants that Check checks.
 func Names() []string {
 	return []string{
 		NeverOlder, RoutesHavePools, NeverInvalid, WholeAnswer, NotRunIsTrue, AtMostOnce, NoWorkAfterDrain,
-		GracefulStop, ActiveEverywhere,
+		GracefulStop, ActiveEverywhere, NoWorkForLost,
 	}
 }
 
@@ -35,6 +36,9 @@
 // or deregistered.
 const DrainGracePeriod = 3 * time.Second
 
+// leaveNotice is the time after which no request of a caller that has left may start, unless the run was disrupted.
+const leaveNotice = 500 * time.Millisecond
+
 // Request identifies a request of a caller.
 type Request struct {
 	ID         string
@@ -83,6 +87,7 @@
 	Activations      []Activation
 	Accepted         []tables.Document                   // valid documents that were written to the store
 	DrainingSince    map[reducer.NodeID]time.Duration    // when the backend server started to drain or deregistered
+	LeftAt           map[string]time.Duration            // when the caller of a request left, by id
 	CutByKill        []string                            // ids of the requests that arrived late in a graceful shutdown and were open at its end
 	InProgressAtStop map[reducer.NodeID][]string         // ids of the requests in progress when a graceful shutdown began
 	FinalVersions    map[reducer.NodeID]tables.VersionID // active versions of the running nodes at the end
@@ -109,7 +114,7 @@
 	var c checker
 	for _, check := range []func(*History){
 		c.checkVersionOrder, c.checkSnapshots, c.checkAnswers, c.checkNotRun, c.checkAtMostOnce,
-		c.checkDraining, c.checkGracefulStops, c.checkConvergence,
+		c.checkDraining, c.checkGracefulStops, c.checkConvergence, c.checkLostCallers,
 	} {
 		check(h)
 	}
@@ -240,6 +245,16 @@
 	}
 }
 
+// checkLostCallers checks that no request starts later than leaveNotice after its caller has left. A node that was paused or
+// cut off meanwhile cannot know.
+func (c *checker) checkLostCallers(h *History) {
+	for _, e := range h.Executions {
+		if left, ok := h.LeftAt[e.Request.ID]; ok && e.At > left+leaveNotice && !h.Disrupted {
+			c.report(NoWorkForLost, "request %s started at %s %v after its caller left", e.Request.ID, e.Node, e.At-left)
+		}
+	}
+}
+
 // checkGracefulStops checks that requests in progress at the start of a graceful shutdown are answered, and that their
 // outcome is known unless the run was disrupted.
 func (c *checker) checkGracefulStops(h *History) {
--- a/internal/pump/faults.go
+++ b/internal/pump/faults.go
@@ -261,6 +261,7 @@
 func (w *World) Heal() {
 	for _, key := range w.linkKeys() {
 		l := w.links[key]
+		l.extraDelay = 0
 		if l.cut = false; l.closeOnHeal {
 			w.closeConnections(key)
 		}
@@ -281,6 +282,14 @@
 	}
 }
 
+// SlowCalls makes forwarded calls between a node and all others take longer, as behind a peer that reads slowly. Control
+// messages and cancellations travel on other connections and are as fast as before.
+func (w *World) SlowCalls(n reducer.NodeID, delay time.Duration) {
+	for _, other := range w.Nodes() {
+		w.link(n, other.ID).extraDelay, w.link(other.ID, n).extraDelay = delay, delay
+	}
+}
+
 // DisconnectCallers closes the connections of all callers that wait for a response.
 func (w *World) DisconnectCallers() {
 	for _, id := range w.callIDs() {
--- a/internal/pump/links.go
+++ b/internal/pump/links.go
@@ -224,7 +224,7 @@
 	if to == nil || !to.Up || w.link(n.ID, to.ID).cut {
 		return
 	}
-	w.scheduleAt(w.Now+LinkDelay, func() { to.post(0, reducer.CancelArrived{ID: c.ID}) })
+	w.scheduleAt(w.Now+LinkDelay, func() { to.post(0, reducer.CancelArrived{ID: c.ID, Attempt: c.Attempt}) })
 }
 
 // handOver sends key records to a peer, with the responses kept for them.
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -131,6 +131,7 @@
 	w.History.DrainingSince = map[reducer.NodeID]time.Duration{}
 	w.History.InProgressAtStop = map[reducer.NodeID][]string{}
 	w.History.Disconnected = map[string]bool{}
+	w.History.LeftAt = map[string]time.Duration{}
 	return w
 }
 
@@ -416,5 +417,6 @@
 	}
 	delete(w.calls, request)
 	w.History.Disconnected[request] = true
+	w.History.LeftAt[request] = w.Now
 	call.node.post(0, reducer.CallerGone{Call: call.handle})
 }
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -88,10 +88,11 @@
 	TimeLeft     time.Duration
 }
 
-// Cancel tells a target node that no response to the call is needed any more.
+// Cancel tells a target node that no response to an attempt of a call, or to an earlier one, is needed any more.
 type Cancel struct {
-	To PeerRef
-	ID CallID
+	To      PeerRef
+	ID      CallID
+	Attempt int
 }
 
 // StartBackendRequest sends a call to the backend server beside this node. BackendRequestDone reports its end.
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -147,8 +147,12 @@
 	TimeLeft          time.Duration
 }
 
-// CancelArrived reports that no response to the call is needed any more.
-type CancelArrived struct{ ID CallID }
+// CancelArrived reports that no response to an attempt of a call, or to an earlier one, is needed any more. It may overtake
+// the attempt, which travels on another connection.
+type CancelArrived struct {
+	ID      CallID
+	Attempt int // 0 when it is not known
+}
 
 // BackendResult says how a request to the backend server ended.
 type BackendResult uint8
--- a/reducer/hedge.go
+++ b/reducer/hedge.go
@@ -106,7 +106,7 @@
 func (s *State) cancelCurrent(call *ingressCall) {
 	switch call.phase {
 	case ingressForwarded:
-		s.emit(Cancel{To: call.target, ID: call.id})
+		s.emit(Cancel{To: call.target, ID: call.id, Attempt: call.attempt})
 	case ingressLocal:
 		s.abandonTargetCall(call.handle)
 	}
@@ -123,5 +123,5 @@
 		s.abandonTargetCall(call.handle)
 		return
 	}
-	s.emit(Cancel{To: earlier.target, ID: call.id})
+	s.emit(Cancel{To: earlier.target, ID: call.id, Attempt: earlier.number})
 }
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -375,7 +375,7 @@
 func (s *State) handleAttemptLost(call *ingressCall) {
 	if call.route.Idempotent {
 		call.mayHaveRun = true
-		s.emit(Cancel{To: call.target, ID: call.id})
+		s.emit(Cancel{To: call.target, ID: call.id, Attempt: call.attempt})
 		s.retryOrFail(call, OutcomeUnknown, ReasonPeerUnreachable)
 		return
 	}
@@ -423,7 +423,7 @@
 	switch call.phase {
 	case ingressForwarded, ingressSettling:
 		s.observeTimeout(call.target.Node)
-		s.emit(Cancel{To: call.target, ID: call.id})
+		s.emit(Cancel{To: call.target, ID: call.id, Attempt: call.attempt})
 		s.failCall(call, OutcomeUnknown, ReasonDeadline)
 	case ingressAskingHolder:
 		s.failCall(call, OutcomeUnknown, ReasonDeadline)
@@ -447,7 +447,7 @@
 	switch call.phase {
 	case ingressForwarded, ingressSettling:
 		outcome = OutcomeUnknown
-		s.emit(Cancel{To: call.target, ID: call.id})
+		s.emit(Cancel{To: call.target, ID: call.id, Attempt: call.attempt})
 	case ingressLocal:
 		outcome = s.abandonTargetCall(call.handle)
 	}
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -63,6 +63,7 @@
 	queuedBytes int64
 	records     recordTable
 	responses   responseMemory
+	cancelled   cancelledCalls
 }
 
 func (t *targetState) init() {
@@ -109,6 +110,10 @@
 	if !call.idempotent && s.attachToRecord(call) {
 		return
 	}
+	if !call.local && s.target.cancelled.covers(call.id, call.attempt) {
+		s.answerCall(call, OutcomeNotRun, ReasonCallerGone)
+		return
+	}
 	if call.key != "" && !s.ownsKey(call) {
 		s.answerCall(call, OutcomeNotRun, ReasonKeyMoved)
 		return
@@ -323,12 +328,6 @@
 	return s.cancelTargetCall(call)
 }
 
-func (s *State) handleCancelArrived(in CancelArrived) {
-	if call := s.target.byID[in.ID]; call != nil {
-		s.cancelTargetCall(call)
-	}
-}
-
 // handleForwarderGone handles the loss of the connection on which a call arrived. Only an idempotent call is cancelled;
 // the outcome of any other may still be asked for. The call is answered all the same, which ends its traffic goroutine.
 func (s *State) handleForwarderGone(in ForwarderGone) {
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -36,6 +36,7 @@
 	conns      map[connKey]*clientConn
 	senders    map[string]*sender // by address
 	closed     bool
+	cancels    int // cancellations under way
 	goroutines sync.WaitGroup
 }
 
@@ -74,7 +75,7 @@
 // no byte of the request can have left the node, and ForwardLost otherwise.
 func (c *Client) Forward(ctx context.Context, f reducer.Forward, request *traffic.Request) (reducer.ForwardDone, *traffic.Response) {
 	done := reducer.ForwardDone{Call: f.Call, Attempt: f.Attempt, Result: reducer.ForwardNotSent}
-	args := wireForward(f, request)
+	args := wireForward(ctx, f, request)
 	if args.maxSize() > ClassBulk.maxRequestBytes() {
 		return done, nil
 	}
@@ -112,7 +113,7 @@
 func (c *Client) Probe(ctx context.Context, probe reducer.Probe, request *traffic.Request) bool {
 	ctx, cancel := context.WithTimeout(ctx, probe.Timeout)
 	defer cancel()
-	class := classFor(wireForward(reducer.Forward{}, request), request)
+	class := classFor(wireForward(ctx, reducer.Forward{}, request), request)
 	return c.invoke(ctx, connKey{probe.To.Address, class}, "Peer.Ping", &Empty{}, &Empty{}) == nil
 }
 
--- a/runner/peer/codec.go
+++ b/runner/peer/codec.go
@@ -46,9 +46,15 @@
 	return c
 }
 
-// WriteRequest implements rpc.ClientCodec. A body that implements sentMarker is marked before any byte of it can leave
-// the node.
+// WriteRequest implements rpc.ClientCodec. A body that implements perishable may be given up here: net/rpc writes one request
+// at a time, so that it may have waited long behind a peer that reads slowly. A body that implements sentMarker is marked
+// before any byte of it can leave the node.
 func (c *codec) WriteRequest(header *rpc.Request, body any) error {
+	if p, ok := body.(perishable); ok {
+		if err := p.beforeWrite(time.Now()); err != nil {
+			return err
+		}
+	}
 	if marker, ok := body.(sentMarker); ok {
 		marker.markMaybeSent()
 	}
@@ -63,6 +69,13 @@
 	return c.write(header, body, kindResponse)
 }
 
+// perishable is a request that loses its use while it waits to be written.
+type perishable interface {
+	// beforeWrite accounts for the wait. It returns an error, which wraps context.Canceled, for a request that is not to be
+	// written any more.
+	beforeWrite(now time.Time) error
+}
+
 // sentMarker is a request that records whether any byte of it may have left the node.
 type sentMarker interface{ markMaybeSent() }
 
--- /dev/null
+++ b/runner/peer/gone_test.go
@@ -0,0 +1,93 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+)
+
+// Guards against a call that is sent on after its caller has left or its time is over, because it waited for its turn on a
+// connection whose peer reads slowly, and against a target that is told the time from before that wait.
+func TestCallThatWaitedIsSentOnlyWithItsCallerAndTime(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		leaves       bool
+		left, waited time.Duration
+		due          time.Duration
+		sent         bool
+	}{
+		{"its caller waits", false, time.Second, 300 * time.Millisecond, 300 * time.Millisecond, true},
+		{"its caller has left", true, time.Second, 0, 0, false},
+		{"its time is over", false, 200 * time.Millisecond, 300 * time.Millisecond, 0, false},
+	} {
+		here, there := net.Pipe()
+		received := make(chan *ForwardArgs, 1)
+		go func() {
+			defer close(received)
+			var header rpc.Request
+			server, args := newCodec(there, bufio.NewReader(there), 1<<20, 1<<20, codecHooks{}), &ForwardArgs{}
+			if server.ReadRequestHeader(&header) == nil && server.ReadRequestBody(args) == nil {
+				received <- args
+			}
+		}()
+		ctx, leave := context.WithCancel(context.Background())
+		args := wireForward(ctx, reducer.Forward{TimeLeft: c.left, DueIn: c.due}, postRequest(1))
+		args.timeAt = args.timeAt.Add(-c.waited)
+		if c.leaves {
+			leave()
+		}
+		client := newCodec(here, bufio.NewReader(here), 1<<20, 1<<20, codecHooks{})
+		err := client.WriteRequest(&rpc.Request{ServiceMethod: "Peer.Forward"}, args)
+		if c.sent != (err == nil) || !c.sent && !errors.Is(err, context.Canceled) || args.maybeSent.Load() != c.sent {
+			t.Errorf("%s: error %v, may have been sent %v", c.name, err, args.maybeSent.Load())
+		}
+		here.Close()
+		got := <-received
+		if (got != nil) != c.sent {
+			t.Errorf("%s: received %v, expected %v", c.name, got != nil, c.sent)
+		}
+		if got != nil && (got.TimeLeft > int64(c.left-c.waited) || got.DueIn >= 0) {
+			t.Errorf("%s: the target is told %v, due in %v, after a wait of %v", c.name, time.Duration(got.TimeLeft), time.Duration(got.DueIn), c.waited)
+		}
+		leave()
+	}
+}
+
+// Guards against a cancellation that waits behind control messages to a peer that does not reply.
+func TestCancellationDoesNotWaitForReplies(t *testing.T) {
+	handler := &slowControl{notified: make(chan struct{}, 1), release: make(chan struct{}), cancelled: make(chan struct{}, 1)}
+	f := startPair(t, identity("a"), identity("b"), handler)
+	t.Cleanup(func() { close(handler.release) })
+	f.client.Send(reducer.Send{To: f.to, Message: reducer.Heartbeat{}})
+	<-handler.notified
+	f.client.Cancel(reducer.Cancel{To: f.to, Attempt: 1})
+	select {
+	case <-handler.cancelled:
+	case <-time.After(controlTimeout / 2):
+		t.Error("the cancellation waits for the reply to the message before")
+	}
+}
+
+// slowControl is a handler that does not reply to control messages until release is closed.
+type slowControl struct {
+	echoHandler
+	notified, cancelled, release chan struct{}
+}
+
+// Post implements Handler.
+func (s *slowControl) Post(input reducer.Input) bool {
+	switch input.(type) {
+	case reducer.PeerMessage:
+		s.notified <- struct{}{}
+		<-s.release
+	case reducer.CancelArrived:
+		s.cancelled <- struct{}{}
+	}
+	return true
+}
--- a/runner/peer/peer_test.go
+++ b/runner/peer/peer_test.go
@@ -355,7 +355,7 @@
 		t.Error("an idle connection was not closed")
 	}
 	f.client.senderIdleTimeout = time.Millisecond
-	f.client.Cancel(reducer.Cancel{To: f.to})
+	f.client.Send(reducer.Send{To: f.to, Message: reducer.Heartbeat{}})
 	eventually(t, "release of the sender", func() bool {
 		f.client.mu.Lock()
 		defer f.client.mu.Unlock()
--- a/runner/peer/sender.go
+++ b/runner/peer/sender.go
@@ -12,6 +12,8 @@
 const (
 	// maxQueuedMessages bounds the control messages that wait for one peer.
 	maxQueuedMessages = 64
+	// maxCancels bounds the cancellations that are under way to all peers.
+	maxCancels = 256
 	// senderIdleTimeout is how long the sender of a peer is kept without messages. It is longer than the interval of
 	// heartbeats, which is one second.
 	senderIdleTimeout = 30 * time.Second
@@ -40,9 +42,31 @@
 	return c.enqueue(outgoingMessage{s.To, "Peer.Notify", args})
 }
 
-// Cancel queues the cancellation of a call without blocking. The cancellation is dropped when the queue is full.
+// Cancel sends the cancellation of a call without blocking. It does not wait for the control messages to the peer, each of
+// which waits for the reply to the one before: the sooner it arrives, the less is done for a caller that has left. Beyond
+// maxCancels it is queued behind them, and dropped when the queue is full.
 func (c *Client) Cancel(cancel reducer.Cancel) {
-	c.enqueue(outgoingMessage{cancel.To, "Peer.Cancel", &CancelArgs{ID: wireCallID(cancel.ID)}})
+	out := outgoingMessage{cancel.To, "Peer.Cancel", &CancelArgs{ID: wireCallID(cancel.ID), Attempt: cancel.Attempt}}
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	if c.cancels < maxCancels {
+		c.cancels++
+		c.goroutines.Go(func() { c.deliverCancel(out) })
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	c.enqueue(out)
+}
+
+func (c *Client) deliverCancel(out outgoingMessage) {
+	c.deliver(out)
+	c.mu.Lock()
+	c.cancels--
+	c.mu.Unlock()
 }
 
 // enqueue queues a message, and returns a PeerSendFailed event when the queue is full.
--- a/runner/peer/server.go
+++ b/runner/peer/server.go
@@ -311,7 +311,7 @@
 
 // Cancel reports to the handler that no response to a call is needed any more.
 func (s *service) Cancel(args *CancelArgs, _ *Empty) error {
-	s.handler.Post(reducer.CancelArrived{ID: args.ID.toCallID()})
+	s.handler.Post(reducer.CancelArrived{ID: args.ID.toCallID(), Attempt: args.Attempt})
 	return nil
 }
 
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -113,7 +115,31 @@
 	Header map[string][]string
 	Body   []byte
 
-	maybeSent atomic.Bool // whether any byte of the request may have left the node; not on the wire
+	// Not on the wire:
+	maybeSent atomic.Bool     // whether any byte of the request may have left the node
+	ctx       context.Context // ends when nobody waits for the answer any more
+	timeAt    time.Time       // time to which TimeLeft and DueIn refer
+}
+
+// errNotSent is returned for a call that is not sent any more.
+var errNotSent = fmt.Errorf("the call has lost its caller or its time before it was sent: %w", context.Canceled)
+
+// beforeWrite implements perishable. A call is not sent once its caller has left or its time is over, and its target gets the
+// time that is left.
+func (a *ForwardArgs) beforeWrite(now time.Time) error {
+	waited := int64(now.Sub(a.timeAt))
+	a.timeAt = now
+	hadTime := a.TimeLeft > 0
+	a.TimeLeft -= waited
+	if a.DueIn != 0 {
+		if a.DueIn -= waited; a.DueIn == 0 {
+			a.DueIn = -1 // 0 would mean that there is none
+		}
+	}
+	if a.ctx.Err() != nil || hadTime && a.TimeLeft <= 0 {
+		return errNotSent
+	}
+	return nil
 }
 
 func (a *ForwardArgs) markMaybeSent() { a.maybeSent.Store(true) }
@@ -150,10 +176,14 @@
 }
 
 // CancelArgs names a call whose response is not needed any more.
-type CancelArgs struct{ ID CallID }
+type CancelArgs struct {
+	ID      CallID
+	Attempt int // the latest that is cancelled; 0 from older nodes
+}
 
-func wireForward(f reducer.Forward, request *traffic.Request) *ForwardArgs {
+func wireForward(ctx context.Context, f reducer.Forward, request *traffic.Request) *ForwardArgs {
 	return &ForwardArgs{
+		ctx: ctx, timeAt: time.Now(),
 		ID: wireCallID(f.ID), Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority,
 		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: int64(f.KeyRetention), TimeLeft: int64(f.TimeLeft),
 		TargetIncarnation: uint64(f.To.Incarnation), Depth: f.Limits.Depth, RetriesLeft: f.Limits.RetriesLeft,
