runner/backend: a late copy of a refusal refuses no other request

Cause: a refusal without an Attempt-Id is accepted as the response to whatever request is under way, and its connection stayed in use, so that a second copy met the next request. A copy with an id met a request that was sent again on the same connection. Bytes at rest and copies of successes were ruled out: such connections are not used, and such copies are skipped.

Change: a connection is not used again after a refusal that names no request, nor for a request that was refused on it.

Why it works: no second copy of a refusal can arrive where a request waits for which it could be taken.

--- a/runner/backend/client.go
+++ b/runner/backend/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -99,7 +100,7 @@
 		cancel()
 		return nil, reducer.BackendNotSent
 	}
-	conn, err := c.getConn(ctx)
+	conn, err := c.getConn(ctx, c.front.RequestID(head.header))
 	if err != nil {
 		<-c.permits
 		cancel()
@@ -127,7 +128,7 @@
 		return nil, result
 	}
 	if result := c.front.ClassifyResponse(in.response.Status, in.response.Header); result != reducer.BackendAnswered {
-		release(in.reuse && in.rest == nil)
+		release(in.reuse && in.rest == nil && conn.noteRefusal(c.front.RequestID(in.response.Header)))
 		return nil, result
 	}
 	if in.rest != nil {
@@ -152,14 +153,15 @@
 	}
 }
 
-// getConn returns a reusable idle connection, or dials a new one.
-func (c *Client) getConn(ctx context.Context) (*backendConn, error) {
+// getConn returns a reusable idle connection, or dials a new one. The connection has had no refusal of the request, which may
+// have been refused before: a late copy of that refusal would be taken for the response.
+func (c *Client) getConn(ctx context.Context, requestID string) (*backendConn, error) {
 	for {
 		conn := c.popIdle()
 		if conn == nil {
 			break
 		}
-		if time.Now().Before(conn.reusableUntil) && conn.isReusable() {
+		if !conn.hasRefused(requestID) && time.Now().Before(conn.reusableUntil) && conn.isReusable() {
 			conn.written = 0
 			return conn, nil
 		}
@@ -278,6 +280,7 @@
 	streaming     bool             // the rest of the current response may be read later
 	reusableUntil time.Time        // end of the idle timeout
 	end           responseEnd      // of the current response
+	refused       []string         // ids of the requests that were refused on the connection
 	growth        *growth          // of the current response; nil if none is asked
 }
 
@@ -320,6 +323,23 @@
 	return c.reader.Buffered() == 0 && !unread && !ended
 }
 
+// maxRefusalsPerConn bounds the refusals on one connection, whose ids are remembered.
+const maxRefusalsPerConn = 64
+
+// noteRefusal records that a request was refused on the connection, and reports whether the connection may be used again. The
+// backend server may send a second copy of the refusal late, as the next response is due. A copy that names no request would
+// say of any that it has not run.
+func (c *backendConn) noteRefusal(requestID string) bool {
+	if requestID == "" || len(c.refused) >= maxRefusalsPerConn {
+		return false
+	}
+	c.refused = append(c.refused, requestID)
+	return true
+}
+
+// hasRefused reports whether a request was refused on the connection.
+func (c *backendConn) hasRefused(requestID string) bool { return slices.Contains(c.refused, requestID) }
+
 // received is a response that answers a request.
 type received struct {
 	response *traffic.Response
--- a/runner/frontend/frontend.go
+++ b/runner/frontend/frontend.go
@@ -26,6 +26,9 @@
 	// ResponseMatches reports whether a complete response belongs to the request. If not, it belongs to an earlier
 	// request on the same connection.
 	ResponseMatches(request, response http.Header, status int) bool
+	// RequestID returns the identifier of a request from its headers or from those of the response to it, or "" if they have
+	// none. A response that has none cannot be told from a late copy of one to an earlier request.
+	RequestID(header http.Header) string
 	// ClassifyResponse returns what the response to a request means for the call.
 	ClassifyResponse(status int, response http.Header) reducer.BackendResult
 }
--- a/runner/frontend/native.go
+++ b/runner/frontend/native.go
@@ -90,11 +90,14 @@
 
 // ResponseMatches implements FrontEnd. A backend server that copies HeaderCallID into its response protects callers from a
 // late copy of a response to another request. A response without it is accepted.
-func (Native) ResponseMatches(request, response http.Header, _ int) bool {
-	id := response.Get(HeaderCallID)
-	return id == "" || id == request.Get(HeaderCallID)
+func (n Native) ResponseMatches(request, response http.Header, _ int) bool {
+	id := n.RequestID(response)
+	return id == "" || id == n.RequestID(request)
 }
 
+// RequestID implements FrontEnd.
+func (Native) RequestID(header http.Header) string { return header.Get(HeaderCallID) }
+
 // ClassifyResponse implements FrontEnd.
 func (Native) ClassifyResponse(status int, response http.Header) reducer.BackendResult {
 	if status == http.StatusServiceUnavailable && response.Get(HeaderOutcome) == reducer.OutcomeNotRun.String() {
