cmd/rosemaryhatch-node: SIGTERM that comes again does not end a shutdown

Cause: any second signal counted as the wish not to wait.

Change: only SIGINT after the first signal ends the process at once; SIGTERM that comes again is logged and changes nothing.

--- a/cmd/rosemaryhatch-node/main.go
+++ b/cmd/rosemaryhatch-node/main.go
@@ -51,8 +51,8 @@
 	return serve(*path, s, newLogger(s.Log))
 }
 
-// serve runs the node until it has shut down and returns the exit code. SIGHUP reloads the settings. The first SIGTERM
-// or SIGINT starts a graceful shutdown, a second one ends it at once.
+// serve runs the node until it has shut down and returns the exit code. SIGHUP reloads the settings. SIGTERM and SIGINT are
+// for followStopSignals.
 func serve(path string, s settings.Settings, logger log.Logger) int {
 	node.TuneRuntime(s.Runtime)
 	nodeLogger := log.With(logger, "node", s.Node.ID, "zone", s.Node.Zone) // node.New adds both keys to logger itself
@@ -67,19 +67,37 @@
 	reloadSignals := make(chan os.Signal, 1)
 	signal.Notify(reloadSignals, syscall.SIGHUP)
 	go watchSettings(ctx, path, reloadSignals, nodeLogger, n.Reload)
-	stopSignals := make(chan os.Signal, 2)
+	stopSignals := make(chan os.Signal, 1)
 	signal.Notify(stopSignals, syscall.SIGTERM, syscall.SIGINT)
-	go func() {
-		<-stopSignals
-		level.Info(nodeLogger).Log("msg", "graceful shutdown, a second signal ends the process")
-		n.Shutdown()
-		<-stopSignals
-		cancel()
-	}()
+	go followStopSignals(ctx, stopSignals, nodeLogger, n.Shutdown, cancel)
 	n.Run(ctx)
 	return exitOK
 }
 
+// followStopSignals starts a graceful shutdown with the first signal. SIGTERM may come again, from a supervisor that repeats
+// it, and changes nothing: the calls in progress get their answers. SIGINT after the first signal comes from somebody who
+// does not want to wait, and ends the process at once.
+func followStopSignals(ctx context.Context, signals <-chan os.Signal, logger log.Logger, shutdown, end func()) {
+	for stopping := false; ; stopping = true {
+		select {
+		case received := <-signals:
+			switch {
+			case !stopping:
+				level.Info(logger).Log("msg", "graceful shutdown, an interrupt ends the process at once", "signal", received)
+				shutdown()
+			case received == syscall.SIGINT:
+				level.Warn(logger).Log("msg", "shutdown is cut short by an interrupt")
+				end()
+				return
+			default:
+				level.Info(logger).Log("msg", "graceful shutdown goes on", "signal", received)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // newLogger returns a logger to standard output with the level and format of the settings.
 func newLogger(s settings.Log) log.Logger {
 	w := log.NewSyncWriter(os.Stdout)
--- a/node/node.go
+++ b/node/node.go
@@ -195,7 +195,7 @@
 }
 
 // close stops the runners. It first waits for the calls of callers and peers, so that responses that are already
-// decided are still written. A second signal cancels ctx, which ends all waits.
+// decided are still written. An interrupt during the shutdown cancels ctx, which ends all waits.
 func (n *Node) close(ctx context.Context, stopThread context.CancelFunc) {
 	n.registerServer.Close()
 	n.waitForCalls(ctx, decisionTimeout)
