runner/peer: send a cancellation again when its connection ends

Cause: a cancellation whose control connection was reset before the reply was lost, and its target worked on until the deadline of the call.

Change: it is sent once more on a new connection. A target takes it twice.

Evidence: TestCancellationSurvivesAReset fails with one try and passes with two; runner/peer passes, also with the race detector three times.

--- a/runner/peer/gone_test.go
+++ b/runner/peer/gone_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/rpc"
+	"sync"
 	"testing"
 	"time"
 
@@ -74,6 +75,40 @@
 	}
 }
 
+// Guards against a cancellation that is lost with its connection, so that the target works on for a caller that has left.
+func TestCancellationSurvivesAReset(t *testing.T) {
+	handler := &resettingControl{arrived: make(chan reducer.CancelArrived, 2)}
+	f := startPair(t, identity("a"), identity("b"), handler)
+	handler.reset = sync.OnceFunc(func() { f.conn(ClassControl).rpc.Close() })
+	f.client.Cancel(reducer.Cancel{To: f.to, Attempt: 7})
+	for range 2 {
+		select {
+		case got := <-handler.arrived:
+			if got.Attempt != 7 {
+				t.Errorf("attempt %d is cancelled, expected 7", got.Attempt)
+			}
+		case <-time.After(2 * controlTimeout):
+			t.Fatal("the cancellation is not sent again")
+		}
+	}
+}
+
+// resettingControl is a handler whose connection is reset as the first cancellation arrives.
+type resettingControl struct {
+	echoHandler
+	reset   func()
+	arrived chan reducer.CancelArrived
+}
+
+// Post implements Handler.
+func (r *resettingControl) Post(input reducer.Input) bool {
+	if in, ok := input.(reducer.CancelArrived); ok {
+		r.reset()
+		r.arrived <- in
+	}
+	return true
+}
+
 // slowControl is a handler that does not reply to control messages until release is closed.
 type slowControl struct {
 	echoHandler
--- a/runner/peer/sender.go
+++ b/runner/peer/sender.go
@@ -14,6 +14,8 @@
 	maxQueuedMessages = 64
 	// maxCancels bounds the cancellations that are under way to all peers.
 	maxCancels = 256
+	// cancelTries is how often a cancellation is sent. Connections that are reset together take it with them once.
+	cancelTries = 2
 	// senderIdleTimeout is how long the sender of a peer is kept without messages. It is longer than the interval of
 	// heartbeats, which is one second.
 	senderIdleTimeout = 30 * time.Second
@@ -62,8 +64,13 @@
 	c.enqueue(out)
 }
 
+// deliverCancel sends a cancellation, and again when its connection ends before the reply: a cancellation may arrive twice.
 func (c *Client) deliverCancel(out outgoingMessage) {
-	c.deliver(out)
+	for range cancelTries {
+		if c.deliver(out) == nil || c.ctx.Err() != nil {
+			break
+		}
+	}
 	c.mu.Lock()
 	c.cancels--
 	c.mu.Unlock()
@@ -98,7 +105,7 @@
 	for {
 		select {
 		case out := <-s.queue:
-			c.deliver(out)
+			_ = c.deliver(out) // the reducer is told of a failure
 			idle.Reset(c.senderIdleTimeout)
 		case <-idle.C:
 			if c.removeSender(s) {
@@ -122,8 +129,8 @@
 	return true
 }
 
-// deliver makes the RPC for one message and posts a PeerSendFailed event when it fails.
-func (c *Client) deliver(out outgoingMessage) {
+// deliver makes the RPC for one message. When it fails, deliver posts a PeerSendFailed event and returns the error.
+func (c *Client) deliver(out outgoingMessage) error {
 	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
 	defer cancel()
 	if control, ok := out.args.(*ControlArgs); ok && control.ConfigUpdate != nil {
@@ -133,4 +140,5 @@
 	if err != nil && c.ctx.Err() == nil {
 		c.post(reducer.PeerSendFailed{To: out.to, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 	}
+	return err
 }
