runner/peer: a connection that is given up drops what it has not sent

Cause: a connection whose peer does not read, or is behind a partition, was closed, but the kernel went on sending its calls. They arrived when the peer read again or the partition ended, and those that are not idempotent ran unless they were fenced. The probe that finds such a connection waited itself for the writes ahead of it.

Change: the socket of a connection that failed is closed with a reset, which drops what was not sent. A probe of the connection for calls ends at its own timeout; that for long bodies waits as before, since a body may take longer.

Evidence: TestUnsentCallsAreDroppedWithTheirConnection fails before (the connection ended as complete) and passes. runner/peer with the race detector, node and internal/processtest pass.

--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -114,7 +114,31 @@
 	ctx, cancel := context.WithTimeout(ctx, probe.Timeout)
 	defer cancel()
 	class := classFor(wireForward(ctx, reducer.Forward{}, request), request)
-	return c.invoke(ctx, connKey{probe.To.Address, class}, "Peer.Ping", &Empty{}, &Empty{}) == nil
+	key := connKey{probe.To.Address, class}
+	conn, err := c.acquire(ctx, key)
+	if err != nil {
+		return false
+	}
+	if class == ClassBulk { // a long body may take that long to write
+		err = c.invokeOn(ctx, conn, "Peer.Ping", &Empty{}, &Empty{})
+	} else {
+		err = c.ping(ctx, conn)
+	}
+	c.release(key, conn, err)
+	return err == nil
+}
+
+// ping makes an RPC in another goroutine: net/rpc waits without bound for the writes ahead of it, which is what a probe of a
+// peer that does not read has to find out.
+func (c *Client) ping(ctx context.Context, conn *clientConn) error {
+	result := make(chan error, 1)
+	go func() { result <- c.invokeOn(ctx, conn, "Peer.Ping", &Empty{}, &Empty{}) }()
+	select {
+	case err := <-result:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
 }
 
 // Settle asks a peer for the outcome of a call. It opens a new connection unless the current one had a response
--- a/runner/peer/codec.go
+++ b/runner/peer/codec.go
@@ -29,11 +29,13 @@
 
 // codecHooks are functions that the codec calls as it reads and writes messages; each may be nil.
 type codecHooks struct {
-	onReadError func(err error)          // a read failed and the connection was closed
-	onRequest   func(method string)      // the header of a request was read
-	onResponse  func(method string)      // the response to a request was written, or its write failed
-	onSent      func(kind string, n int) // a message of n bytes was written
-	onReceived  func(kind string, n int) // a message of n bytes was read
+	onReadError func(err error) // a read failed and the connection was closed
+	// onWriteError is called before the connection is closed because a write failed.
+	onWriteError func()
+	onRequest    func(method string)      // the header of a request was read
+	onResponse   func(method string)      // the response to a request was written, or its write failed
+	onSent       func(kind string, n int) // a message of n bytes was written
+	onReceived   func(kind string, n int) // a message of n bytes was read
 	// readTimeout is how long the connection may stay without a message; 0 means no limit.
 	readTimeout time.Duration
 }
@@ -117,6 +119,9 @@
 		return err
 	}
 	if _, err := c.conn.Write(frame); err != nil {
+		if c.hooks.onWriteError != nil {
+			c.hooks.onWriteError()
+		}
 		c.conn.Close()
 		return err
 	}
--- a/runner/peer/conn.go
+++ b/runner/peer/conn.go
@@ -34,9 +34,11 @@
 
 // clientConn is a connection that is open or being opened.
 type clientConn struct {
-	ready chan struct{} // closed when rpc, peer, version and err are set
+	ready chan struct{} // closed when rpc, socket, peer, version and err are set
 	rpc   *rpc.Client
-	peer  reducer.PeerRef
+	// socket is the connection below rpc.
+	socket net.Conn
+	peer   reducer.PeerRef
 	// version is the negotiated protocol version.
 	version uint32
 	err     error
@@ -100,11 +102,32 @@
 	}
 	last := conn.retired && conn.activeRPCs == 0
 	c.mu.Unlock()
+	if failed {
+		conn.discardUnsent()
+	}
 	if failed || last {
 		conn.closeIfOpen()
 	}
 }
 
+// discardUnsent makes the close of an open connection drop the requests that the peer has not received. The kernel would
+// otherwise go on sending them, behind a partition for as long as that lasts, and the peer would begin calls that have been
+// given up long before.
+func (conn *clientConn) discardUnsent() {
+	select {
+	case <-conn.ready:
+		dropUnsent(conn.socket)
+	default:
+	}
+}
+
+// dropUnsent makes the close of a socket drop what it has not sent.
+func dropUnsent(socket net.Conn) {
+	if tcp, ok := socket.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only if the connection is closed
+	}
+}
+
 // closeIfOpen closes a connection that is open. One that is still being opened is closed by open.
 func (conn *clientConn) closeIfOpen() {
 	select {
@@ -125,7 +148,7 @@
 // open opens a connection and then closes its ready channel. A connection that was retired meanwhile and has no RPCs is
 // closed at once.
 func (c *Client) open(key connKey, conn *clientConn) {
-	conn.rpc, conn.peer, conn.version, conn.err = c.dialWithRetries(key, conn)
+	conn.rpc, conn.peer, conn.version, conn.err = c.dialWithRetries(key, conn) // sets conn.socket as well
 	conn.lastHeard.Store(time.Now().UnixNano())
 	c.mu.Lock()
 	conn.lastUsed = time.Now()
@@ -173,7 +196,10 @@
 		socket.Close()
 		return nil, reducer.PeerRef{}, 0, err
 	}
-	hooks := codecHooks{onReadError: func(err error) { c.handleReadError(key, conn, err) }}
+	hooks := codecHooks{
+		onReadError:  func(err error) { c.handleReadError(key, conn, err) },
+		onWriteError: func() { dropUnsent(socket) },
+	}
 	if key.class == ClassControl {
 		hooks.onSent, hooks.onReceived = c.observer.MessageOut, c.observer.MessageIn
 	}
@@ -181,6 +207,7 @@
 	if c.self.omitsTypeStream(reply, key.class) {
 		codec.skipTypeStream()
 	}
+	conn.socket = socket
 	return rpc.NewClientWithCodec(codec), reply.peerRef(), c.self.negotiateVersion(reply), nil
 }
 
--- a/runner/peer/gone_test.go
+++ b/runner/peer/gone_test.go
@@ -4,12 +4,16 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/rpc"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 )
 
@@ -109,6 +113,49 @@
 	return true
 }
 
+// Guards against calls that the kernel goes on sending after their connection was given up: a peer that reads again, or is
+// reached again, would begin them long after their callers have left.
+func TestUnsentCallsAreDroppedWithTheirConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	server := NewServer(identity("b"), listener, &echoHandler{}, log.NewNopLogger(), nil)
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if _, _, err := server.handshake(&observedConn{Conn: conn, observer: nopObserver{}}); err == nil {
+			accepted <- conn // not read from here on
+		}
+	}()
+	client := NewClient(identity("a"), func(reducer.Input) bool { return true }, nil)
+	defer client.Close()
+	const calls = 600 // more than the kernel takes for a peer that does not read
+	to, request := reducer.PeerRef{Address: listener.Addr().String()}, postRequest(maxCallBodyBytes)
+	ended := make(chan reducer.ForwardDone, calls)
+	for range calls {
+		go func() {
+			done, _ := client.Forward(context.Background(), reducer.Forward{To: to, TimeLeft: time.Minute}, request)
+			ended <- done
+		}()
+	}
+	conn := <-accepted
+	defer conn.Close()
+	if client.Probe(context.Background(), reducer.Probe{To: to, Timeout: 100 * time.Millisecond}, request) {
+		t.Fatal("a peer that does not read answered a probe")
+	}
+	if done := <-ended; done.Result == reducer.ForwardAnswered {
+		t.Errorf("a call was answered by a peer that does not read")
+	}
+	if _, err := io.Copy(io.Discard, conn); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, expected a reset that drops what was not received", err)
+	}
+}
+
 // slowControl is a handler that does not reply to control messages until release is closed.
 type slowControl struct {
 	echoHandler
