tables, reducer, runner, platform/hosted: workspaces and their keys; uploads; settings of quotas, roll-outs and links

A configuration with customers' keys was served without them: a key was passed on to the backend servers and to other nodes, unknown and withdrawn keys were served, and routes of the kind upload refused all requests as unsupported.

The tables hold workspaces with fingerprints of their keys. A request on a route that is not public needs a key that a workspace holds, is answered 401 otherwise, and carries the name of its workspace to the backend server. An upload is a route that is not idempotent.

TestKeysOfWorkspaces failed before: requests without keys were served and the key reached the server.

--- a/node/hosted_test.go
+++ b/node/hosted_test.go
@@ -10,6 +10,8 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -231,6 +233,94 @@
 	}
 }
 
+// workspaceConfig is a configuration with one workspace, which holds a key, and two routes of which one is public.
+const workspaceConfig = `{"version":"%08x","services":[{"name":"desk"}],"tenants":[{"name":"red","api-keys":["%s"],"priority":0}],
+"virtual-hosts":[{"host":"desk.example","paths":[{"name":"all","prefix":"/v1/","kind":"idempotent","timeout-ms":2000,"service":"desk"},
+{"name":"open","prefix":"/open/","kind":"idempotent","timeout-ms":2000,"service":"desk","public":true}]}]}`
+
+// sendWithKey sends a request with the given values of the headers for the key and the workspace.
+func (h *hostedNodes) sendWithKey(t *testing.T, node int, path string, keys []string) int {
+	t.Helper()
+	request, _ := http.NewRequest(http.MethodGet, "http://"+h.callerAddresses[node]+path, nil)
+	request.Host = "desk.example"
+	request.Header[hosted.HeaderKey] = keys
+	request.Header.Set(hosted.HeaderWorkspace, "forged")
+	request.Header.Set(hosted.HeaderAttempt, fmt.Sprint("k", node, path, keys))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response.Body.Close()
+	return response.StatusCode
+}
+
+// Guards against a key or a forged workspace that reaches a backend server, beside the caller's node or another one, and
+// against requests that are served without a valid key, also on a connection that is open when the key is withdrawn.
+func TestKeysOfWorkspaces(t *testing.T) {
+	var requests sync.Map // headers of the requests that reached the backend server, by attempt
+	h := startHostedNodes(t, func(conn net.Conn) {
+		defer conn.Close()
+		for reader := bufio.NewReader(conn); ; {
+			request, err := http.ReadRequest(reader)
+			if err != nil {
+				return
+			}
+			id := request.Header.Get(hosted.HeaderAttempt)
+			requests.Store(id, request.Header)
+			if writeResponse(conn, id, "ran") != nil {
+				return
+			}
+		}
+	})
+	h.store.OperatorPut(hosted.KeyConfig, fmt.Appendf(nil, workspaceConfig, 1, "red-1"))
+	for node := range h.callerAddresses {
+		waitFor(t, func() bool { return h.sendWithKey(t, node, "/v1/ready", []string{"red-1"}) == http.StatusOK })
+		for _, c := range []struct {
+			path      string
+			keys      []string
+			status    int
+			workspace string
+		}{
+			{"/v1/a", []string{"red-1"}, http.StatusOK, "red"},
+			{"/v1/a", nil, http.StatusUnauthorized, ""},
+			{"/v1/a", []string{""}, http.StatusUnauthorized, ""},
+			{"/v1/a", []string{"red-2"}, http.StatusUnauthorized, ""},
+			{"/v1/a", []string{"red-1", "red-1"}, http.StatusUnauthorized, ""},
+			{"/v1/a", []string{strings.Repeat("red-1", 1000)}, http.StatusUnauthorized, ""},
+			{"/open/a", nil, http.StatusOK, ""},
+			{"/open/a", []string{"red-1"}, http.StatusOK, ""},
+		} {
+			if status := h.sendWithKey(t, node, c.path, c.keys); status != c.status {
+				t.Errorf("node %d %s %v: status %d, expected %d", node, c.path, c.keys, status, c.status)
+			}
+			received, ran := requests.Load(fmt.Sprint("k", node, c.path, c.keys))
+			if ran != (c.status == http.StatusOK) {
+				t.Errorf("node %d %s %v: reached the backend server: %v", node, c.path, c.keys, ran)
+			}
+			if ran {
+				header := received.(http.Header)
+				if header.Get(hosted.HeaderWorkspace) != c.workspace || header.Get(hosted.HeaderKey) != "" {
+					t.Errorf("node %d %s %v: headers %v", node, c.path, c.keys, header)
+				}
+			}
+		}
+	}
+	h.store.OperatorPut(hosted.KeyConfig, fmt.Appendf(nil, workspaceConfig, 2, "red-2"))
+	for node := range h.callerAddresses {
+		waitFor(t, func() bool { return h.sendWithKey(t, node, "/v1/b", []string{"red-1"}) == http.StatusUnauthorized })
+	}
+}
+
+// waitFor waits until a condition holds, for at most waitTimeout.
+func waitFor(t *testing.T, holds func() bool) {
+	t.Helper()
+	for start := time.Now(); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > waitTimeout {
+			t.Fatal("condition does not hold in time")
+		}
+	}
+}
+
 // inject sets the fault of the store; FaultNone ends it.
 func inject(t *testing.T, s *standin.Server, fault standin.Fault) {
 	t.Helper()
--- a/node/perform.go
+++ b/node/perform.go
@@ -76,7 +76,7 @@
 	if served {
 		logger = level.Debug(n.logger)
 	}
-	logger.Log("msg", "call finished", "request", e.RequestID, "call", e.ID, "route", e.Route, "priority", e.Priority,
+	logger.Log("msg", "call finished", "request", e.RequestID, "call", e.ID, "route", e.Route, "workspace", e.Workspace, "priority", e.Priority,
 		"version", e.Version, "outcome", e.Outcome, "reason", e.Reason, "attempts", e.Attempts, "target", e.Target,
 		"time_left", e.TimeLeft, "elapsed", e.Elapsed)
 }
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -62,6 +62,7 @@
 	Limits       CallLimits
 	RequestID    string
 	Streaming    bool // the response may be passed on while it is received
+	Workspace    string
 }
 
 // Probe checks whether the connection of a forwarded attempt answers within Timeout. A connection that does
@@ -107,7 +108,8 @@
 	// beyond their begin; 0 for no bound but Timeout.
 	ResponseTail time.Duration
 	Limits       CallLimits
-	Streaming    bool // a long response is passed on while it is received
+	Streaming    bool   // a long response is passed on while it is received
+	Workspace    string // that the backend server is told; empty for none
 	// KeepResponse keeps the response until DropResponse, so that copies of the call can be answered with it.
 	KeepResponse bool
 }
@@ -242,6 +244,7 @@
 	Target    NodeID // target of the last attempt; empty when there was none
 	Version   uint64 // version of the tables that applied to the call
 	Route     string
+	Workspace string // whose key the caller sent; empty for none
 	Priority  int
 	Outcome   Outcome
 	Reason    Reason
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -40,11 +40,18 @@
 	RetriesLeft    int           // retries that the outer call has left; -1 when the caller did not send this number
 	Parent         CallID        // the outer call; zero when it is not known
 	RequestID      string        // the caller's identifier of the request; for logs only
+	Credential     Credential
 	// Pipelined is set for a request without a body that arrived while a request ahead of it on its connection is still
 	// being served. PostponeCall answers one that must not be begun yet.
 	Pipelined bool
 }
 
+// Credential is the key that a request carries.
+type Credential struct {
+	Valid bool                  // there is exactly one key, of an allowed length
+	Key   tables.KeyFingerprint // zero unless Valid is set
+}
+
 // BodyRead reports that the request body has been read, or why reading it failed.
 type BodyRead struct {
 	Call   Handle
@@ -125,6 +132,7 @@
 	Limits            CallLimits
 	RequestID         string // the caller's identifier of the request; for logs only
 	Streaming         bool   // the peer can take the response while it is received
+	Workspace         string // whose key the caller sent; empty for none
 }
 
 // ForwarderGone reports that the peer connection on which a forwarded call arrived was closed.
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -47,6 +47,7 @@
 	// requestID is the caller's identifier of the request, and version that of the tables that apply to it.
 	requestID string
 	version   uint64
+	workspace string // whose key the caller sent; empty for none
 	phase     ingressPhase
 	attempt   int
 	target    PeerRef
@@ -91,7 +92,7 @@
 
 // handleCallArrived admits a new call or refuses it.
 func (s *State) handleCallArrived(in CallArrived) {
-	route, reason := s.admitArrival(in)
+	route, workspace, reason := s.admitArrival(in)
 	if in.Pipelined && (reason != ReasonNone || !route.Idempotent) {
 		// The requests ahead of it may close the connection, and their callers then send it again as a new request.
 		s.emit(PostponeCall{Call: in.Call})
@@ -101,10 +102,10 @@
 		in.FirstAttempt = s.isFirstAttempt(in)
 		outcome := in.RefusalOutcome()
 		s.emit(FailCall{Call: in.Call, Outcome: outcome, Reason: reason, RetryAfter: fixedRetryAfter(reason)})
-		s.emit(CallFinished{Call: in.Call, RequestID: in.RequestID, Version: s.config.active.ID().Number, Route: route.Name, Priority: route.Priority, Outcome: outcome, Reason: reason})
+		s.emit(CallFinished{Call: in.Call, RequestID: in.RequestID, Version: s.config.active.ID().Number, Route: route.Name, Workspace: workspace, Priority: route.Priority, Outcome: outcome, Reason: reason})
 		return
 	}
-	call := s.newIngressCall(in, route)
+	call := s.newIngressCall(in, route, workspace)
 	if call.key == "" && s.shouldRefuseEarly(call) {
 		s.failCall(call, OutcomeNotRun, ReasonDeadline)
 		return
@@ -119,34 +120,66 @@
 	s.emit(ReadBody{Call: call.handle, Limit: route.MaxBodyBytes})
 }
 
-// admitArrival returns the route of a new call, with its pool selected, or the reason to refuse it before its body is
-// read.
-func (s *State) admitArrival(in CallArrived) (tables.Route, Reason) {
+// admitArrival returns the route of a new call, with its pool and its priority selected, and its workspace, or the reason to
+// refuse it before its body is read.
+func (s *State) admitArrival(in CallArrived) (tables.Route, string, Reason) {
 	if !s.isReady() {
-		return tables.Route{}, ReasonNotReady
+		return tables.Route{}, "", ReasonNotReady
 	}
 	route, ok := s.config.active.Match(in.Host, in.Method, in.Path)
+	if !ok {
+		return tables.Route{}, "", ReasonNoRoute
+	}
+	chosen := *route
+	workspace, ok := s.authenticate(in.Credential, route)
+	if !ok {
+		return chosen, "", ReasonUnknownKey
+	}
+	if workspace.HasPriority {
+		chosen.Priority = workspace.Priority
+	}
+	if reason := s.refuseArrival(in, route); reason != ReasonNone {
+		return chosen, workspace.Name, reason
+	}
+	if len(route.Split) > 0 {
+		chosen.Pool = s.pickPool(route)
+	}
+	return chosen, workspace.Name, ReasonNone
+}
+
+// authenticate returns the workspace that holds the key of a request, or false if its route needs a key and there is none.
+// A request on a public route belongs to no workspace.
+func (s *State) authenticate(credential Credential, route *tables.Route) (tables.Workspace, bool) {
+	if route.Public || !s.config.active.HasWorkspaces() {
+		return tables.Workspace{}, true
+	}
+	if !credential.Valid {
+		return tables.Workspace{}, false
+	}
+	workspace, ok := s.config.active.WorkspaceOf(credential.Key)
+	if !ok {
+		return tables.Workspace{}, false
+	}
+	return *workspace, true
+}
+
+// refuseArrival returns why a new call on a route is refused before its body is read, or ReasonNone.
+func (s *State) refuseArrival(in CallArrived, route *tables.Route) Reason {
 	switch {
-	case !ok:
-		return tables.Route{}, ReasonNoRoute
 	case route.Unsupported != "":
-		return *route, ReasonUnsupportedRoute
+		return ReasonUnsupportedRoute
 	case s.shutdown.mayEndBefore(s.now + callTimeout(in, route)):
-		return *route, ReasonLeaving
+		return ReasonLeaving
 	case in.Depth >= MaxDepth:
-		return *route, ReasonTooDeep
+		return ReasonTooDeep
 	case in.BodyBytes > route.MaxBodyBytes:
-		return *route, ReasonBodyTooLarge
+		return ReasonBodyTooLarge
 	case len(s.ingress.calls) >= s.cfg.Limits.MaxCalls:
-		return *route, ReasonOverloaded
+		return ReasonOverloaded
 	case s.ingress.reservedBytes+bytesToReserve(in.BodyBytes, route) > s.cfg.Limits.MaxBodyBytes:
-		return *route, ReasonOverloaded
-	}
-	chosen := *route
-	if len(route.Split) > 0 {
-		chosen.Pool = s.pickPool(route)
+		return ReasonOverloaded
 	}
-	return chosen, ReasonNone
+	return ReasonNone
 }
 
 // bytesToReserve returns the bytes to reserve for a request body; one of unknown length, given as negative, may reach
@@ -167,7 +200,7 @@
 }
 
 // newIngressCall adds an admitted call and reserves memory for its body.
-func (s *State) newIngressCall(in CallArrived, route tables.Route) *ingressCall {
+func (s *State) newIngressCall(in CallArrived, route tables.Route, workspace string) *ingressCall {
 	timeout := callTimeout(in, &route)
 	s.ingress.seq++
 	call := &ingressCall{
@@ -177,6 +210,7 @@
 		limits:        CallLimits{Depth: in.Depth + 1},
 		requestID:     in.RequestID,
 		version:       s.config.active.ID().Number,
+		workspace:     workspace,
 		retries:       allowedRetries(in, route.Retries),
 		parent:        in.Parent,
 		reservedBytes: bytesToReserve(in.BodyBytes, &route),
@@ -274,7 +308,7 @@
 		Route: call.route.Name, Pool: call.route.Pool, Priority: call.route.Priority,
 		Idempotent: call.route.Idempotent, Key: call.key, KeyRetention: call.route.KeyRetention,
 		TimeLeft: left, DueIn: s.timeUntilDue(call), Limits: call.limits, RequestID: call.requestID,
-		Streaming: call.route.Streaming,
+		Streaming: call.route.Streaming, Workspace: call.workspace,
 	})
 	s.timers.set(timerKey{kind: timerIngressCheck, call: call.handle}, s.nextCheckTime(call))
 }
@@ -489,7 +523,7 @@
 	s.timers.cancel(timerKey{kind: timerIngressCheck, call: call.handle})
 	s.emit(CallFinished{
 		Call: call.handle, ID: call.id, RequestID: call.requestID, Target: call.target.Node, Version: call.version,
-		Route: call.route.Name, Priority: call.route.Priority,
+		Route: call.route.Name, Workspace: call.workspace, Priority: call.route.Priority,
 		Outcome: outcome, Reason: reason, Attempts: call.attempt, Elapsed: s.now - call.arrivedAt, TimeLeft: call.deadline - s.now,
 	})
 	s.handOverWhenIdle()
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -30,6 +30,7 @@
 	abandoned    bool // nobody waits for it, but its record may need the outcome
 	limits       CallLimits
 	requestID    string
+	workspace    string // empty for none
 	bytes        int64
 	phase        targetPhase
 	record       *record       // nil for idempotent calls
@@ -78,7 +79,8 @@
 		handle: call.handle, id: call.id, attempt: call.attempt, route: call.route.Name, key: call.key,
 		keyRetention: call.route.KeyRetention, pool: call.route.Pool, priority: call.route.Priority,
 		idempotent: call.route.Idempotent, local: true, limits: call.limits, bytes: call.reservedBytes, requestID: call.requestID, streaming: call.route.Streaming,
-		deadline: call.deadline, due: call.due,
+		workspace: call.workspace,
+		deadline:  call.deadline, due: call.due,
 	}
 }
 
@@ -88,7 +90,7 @@
 		handle: in.Call, id: in.ID, attempt: max(in.Attempt, 1), route: in.Route, key: in.Key,
 		keyRetention: in.KeyRetention, pool: in.Pool, priority: min(max(in.Priority, 0), tables.Priorities-1),
 		idempotent: in.Idempotent, limits: in.Limits, requestID: in.RequestID, bytes: in.BodyBytes, deadline: s.now + in.TimeLeft, due: dueAt(s.now, in.DueIn),
-		arrivedAt: s.now, streaming: in.Streaming && in.Idempotent,
+		arrivedAt: s.now, streaming: in.Streaming && in.Idempotent, workspace: in.Workspace,
 	}
 	if in.TargetIncarnation != s.cfg.Incarnation {
 		s.answerCall(call, OutcomeNotRun, ReasonWrongIncarnation)
@@ -161,7 +163,7 @@
 	}
 	s.emit(StartBackendRequest{
 		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Timeout: timeout, ResponseTail: responseTail,
-		Limits: call.limits, KeepResponse: call.record != nil, Streaming: call.streaming,
+		Limits: call.limits, KeepResponse: call.record != nil, Streaming: call.streaming, Workspace: call.workspace,
 	})
 }
 
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -111,6 +111,8 @@
 	ReasonOtherBackend     // another backend server now has the address
 	ReasonUnsupportedRoute // this release cannot serve the route
 	ReasonResponseTooLarge // the response was cut because it needed too much memory
+	ReasonUnknownKey       // the route needs a key, and the request has none that a workspace holds
+	ReasonQuotaExceeded    // the workspace has used its quota
 	reasonCount
 )
 
@@ -119,7 +121,7 @@
 	"body_too_large", "body_incomplete", "too_deep", "leaving", "draining", "wrong_incarnation",
 	"fenced", "records_full", "shed", "backend_unreachable", "backend_failed", "peer_unreachable",
 	"caller_gone", "key_owner_lost", "key_moved", "forgotten", "other_backend",
-	"unsupported_route", "response_too_large",
+	"unsupported_route", "response_too_large", "unknown_key", "quota_exceeded",
 }
 
 func (r Reason) String() string {
--- a/runner/frontend/frontend.go
+++ b/runner/frontend/frontend.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
 // FrontEnd is a set of HTTP headers that callers and backend servers use. Implementations must be safe for concurrent
@@ -33,13 +34,29 @@
 	ClassifyResponse(status int, response http.Header) reducer.BackendResult
 }
 
+// maxKeyBytes is the longest key of a caller. A longer one is in no configuration and is not hashed.
+const maxKeyBytes = 256
+
+// ParseKey returns the credential in the values of the header for keys. It is valid if there is exactly one key.
+func ParseKey(values []string) reducer.Credential {
+	if len(values) != 1 || values[0] == "" || len(values[0]) > maxKeyBytes {
+		return reducer.Credential{}
+	}
+	return reducer.Credential{Valid: true, Key: tables.FingerprintOf(values[0])}
+}
+
 // FailureStatus returns the HTTP status of the response to a call that failed. The status is 503 only if the request
 // has not run and will not run.
 func FailureStatus(failure reducer.FailCall) int {
+	if failure.Reason == reducer.ReasonUnknownKey {
+		return http.StatusUnauthorized
+	}
 	if failure.Outcome == reducer.OutcomeUnknown {
 		return http.StatusGatewayTimeout
 	}
 	switch failure.Reason {
+	case reducer.ReasonQuotaExceeded:
+		return http.StatusTooManyRequests
 	case reducer.ReasonNoRoute:
 		return http.StatusNotFound
 	case reducer.ReasonBodyTooLarge:
--- a/runner/frontend/native.go
+++ b/runner/frontend/native.go
@@ -15,6 +15,7 @@
 	headerIdempotencyKey    = "Idempotency-Key"
 	headerAttemptCount      = "X-Envoy-Attempt-Count"
 	headerExpectedTimeoutMs = "X-Envoy-Expected-Rq-Timeout-Ms"
+	HeaderKey               = "Rosemaryhatch-Key" // the caller's key; never forwarded
 )
 
 // Headers that a backend server receives with a call and must copy to the calls that it makes on behalf of that call.
@@ -26,11 +27,13 @@
 	// HeaderOutcome is set in responses and says whether the request ran. A backend server that sheds a call sets it
 	// to "not_run" in a 503.
 	HeaderOutcome = "Rosemaryhatch-Outcome"
+	// HeaderWorkspace names the workspace that holds the caller's key. Only nodes set it.
+	HeaderWorkspace = "Rosemaryhatch-Workspace"
 )
 
 const (
-	maxKeyBytes = 256
-	maxTimeout  = time.Hour
+	maxIdempotencyKeyBytes = 256
+	maxTimeout             = time.Hour
 )
 
 // Native is the FrontEnd for Rosemaryhatch's own headers.
@@ -43,9 +46,10 @@
 	call.IdempotencyKey = header.Get(headerIdempotencyKey)
 	call.FirstAttempt = header.Get(headerAttemptCount) == "1"
 	call.RequestID = header.Get("X-Request-Id")
-	if len(call.IdempotencyKey) > maxKeyBytes {
+	call.Credential = ParseKey(header.Values(HeaderKey))
+	if len(call.IdempotencyKey) > maxIdempotencyKeyBytes {
 		call.IdempotencyKey = "" // makes the outcome not_run: no request with such a key was ever accepted
-		return fmt.Errorf("%s is longer than %d bytes", headerIdempotencyKey, maxKeyBytes)
+		return fmt.Errorf("%s is longer than %d bytes", headerIdempotencyKey, maxIdempotencyKeyBytes)
 	}
 	var err error
 	if call.Timeout, err = parseTimeout(header); err != nil {
@@ -60,7 +64,10 @@
 }
 
 // RewriteCallerHeaders implements FrontEnd.
-func (Native) RewriteCallerHeaders(http.Header) {}
+func (Native) RewriteCallerHeaders(header http.Header) {
+	header.Del(HeaderKey)
+	header.Del(HeaderWorkspace)
+}
 
 // SetFailureHeaders implements FrontEnd.
 func (Native) SetFailureHeaders(header http.Header, failure reducer.FailCall) int {
@@ -86,6 +93,9 @@
 	header[HeaderDepth] = []string{strconv.Itoa(start.Limits.Depth)}
 	header[HeaderRetriesLeft] = []string{strconv.Itoa(start.Limits.RetriesLeft)}
 	header[HeaderCallID] = []string{start.ID.String()}
+	if start.Workspace != "" {
+		header[HeaderWorkspace] = []string{start.Workspace}
+	}
 }
 
 // ResponseMatches implements FrontEnd. A backend server that copies HeaderCallID into its response protects callers from a
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -106,8 +106,9 @@
 	Depth             int
 	RetriesLeft       int
 	RequestID         string
-	DueIn             int64 // ns until the due time; negative when it has passed, 0 when there is none
-	Streaming         bool  // the sender takes a long response in parts
+	DueIn             int64  // ns until the due time; negative when it has passed, 0 when there is none
+	Streaming         bool   // the sender takes a long response in parts
+	Workspace         string // whose key the caller sent; empty for none
 
 	Method string
 	URI    string
@@ -187,7 +188,7 @@
 		ID: wireCallID(f.ID), Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority,
 		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: int64(f.KeyRetention), TimeLeft: int64(f.TimeLeft),
 		TargetIncarnation: uint64(f.To.Incarnation), Depth: f.Limits.Depth, RetriesLeft: f.Limits.RetriesLeft,
-		RequestID: f.RequestID, DueIn: int64(f.DueIn), Streaming: f.Streaming,
+		RequestID: f.RequestID, DueIn: int64(f.DueIn), Streaming: f.Streaming, Workspace: f.Workspace,
 		Method: request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
 	}
 }
@@ -197,7 +198,7 @@
 		Call: call, ID: a.ID.toCallID(), Attempt: a.Attempt, Route: a.Route, Pool: a.Pool, Priority: a.Priority,
 		Idempotent: a.Idempotent, Key: a.Key, KeyRetention: time.Duration(a.KeyRetention),
 		TimeLeft: time.Duration(a.TimeLeft), TargetIncarnation: reducer.Incarnation(a.TargetIncarnation),
-		RequestID: a.RequestID, DueIn: time.Duration(a.DueIn), Streaming: a.Streaming, BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
+		RequestID: a.RequestID, DueIn: time.Duration(a.DueIn), Streaming: a.Streaming, Workspace: a.Workspace, BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
 	}
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -22,6 +22,9 @@
 	Platform Platform
 	Limits   Limits
 	Retries  Retries
+	Quotas   Quotas
+	Rollouts Rollouts
+	Instance Instance
 	Runtime  Runtime
 	Shutdown Shutdown
 	Log      Log
@@ -96,6 +99,29 @@
 	Slack int     // retries allowed in any 10 s in addition to Ratio
 }
 
+// Quotas says how exactly the quotas of workspaces must be kept over all nodes together: in any Window, at most
+// (rate x Window + burst) x (1 + Overage) + Slack requests of a workspace may reach backend servers.
+type Quotas struct {
+	Window  time.Duration
+	Overage float64 // fraction
+	Slack   int     // requests
+}
+
+// Rollouts bounds what a version that is being rolled out may receive before it is known to be good. It is off unless
+// Enabled, which is set if the file has the section.
+type Rollouts struct {
+	Enabled bool
+	// A bad version may receive at most ExposureShare of the requests of its service, plus ExposureSlack.
+	ExposureShare float64
+	ExposureSlack int
+	Rollback      time.Duration // longest time from the 50th bad response to the last request that is sent to the version
+}
+
+// Instance describes the instance that the node runs on.
+type Instance struct {
+	LinkMbps float64 // rate of its network link in each direction; 0 if it is not known
+}
+
 // Runtime limits the memory and the parallelism of the process.
 type Runtime struct {
 	MemoryBytes int64 // 0 is unlimited
@@ -135,6 +161,9 @@
 		{"peers", !slices.Equal(s.Peers.Seeds, other.Peers.Seeds)},
 		{"platform", s.Platform != other.Platform},
 		{"limits", s.Limits != other.Limits},
+		{"quotas", s.Quotas != other.Quotas},
+		{"rollouts", s.Rollouts != other.Rollouts},
+		{"instance", s.Instance != other.Instance},
 		{"log", s.Log != other.Log},
 		{"trace", s.Trace != other.Trace},
 	} {
@@ -241,6 +270,18 @@
 			Ratio: r.fraction("retries", "ratio", 0.2),
 			Slack: int(r.integer("retries", "slack", 200, 0, 1_000_000)),
 		},
+		Quotas: Quotas{
+			Window:  r.duration("quotas", "window", 5*time.Second, time.Second, time.Minute),
+			Overage: r.fraction("quotas", "overage", 0),
+			Slack:   int(r.integer("quotas", "slack", 0, 0, 1_000_000)),
+		},
+		Rollouts: Rollouts{
+			Enabled:       r.file.HasSection("rollouts"),
+			ExposureShare: r.fraction("rollouts", "exposure_share", 0.1),
+			ExposureSlack: int(r.integer("rollouts", "exposure_slack", 50, 0, 1_000_000)),
+			Rollback:      r.duration("rollouts", "rollback", 5*time.Second, time.Second, time.Minute),
+		},
+		Instance: Instance{LinkMbps: r.number("instance", "link_mbps", 0, 0, 1e6)},
 		Runtime: Runtime{
 			MemoryBytes: memory,
 			Processors:  int(r.integer("runtime", "processors", 2, 1, 1024)),
@@ -366,6 +407,19 @@
 	return value
 }
 
+func (r *reader) number(section, key string, fallback, low, high float64) float64 {
+	text := r.text(section, key)
+	if text == "" {
+		return fallback
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(value >= low && value <= high) {
+		r.addProblem(section, key, "is %q, expected a number from %g to %g", text, low, high)
+		return fallback
+	}
+	return value
+}
+
 // choice returns the value of a key that must be one of values. The first of them is the default.
 func (r *reader) choice(section, key string, values ...string) string {
 	text := r.text(section, key)
--- a/tables/check.go
+++ b/tables/check.go
@@ -71,6 +71,9 @@
 		document:  document,
 		pools:     map[string]Pool{},
 		byService: map[string]Pool{},
+
+		workspaces: map[string]*Workspace{},
+		byKey:      map[KeyFingerprint]*Workspace{},
 	}}
 	c.checkDocument(document)
 	if len(c.faults) == 0 {
@@ -116,7 +119,7 @@
 }
 
 // parseSections returns the sections of a table that are named [PREFIX NAME] and reports all others. It
-// checks the limits section itself.
+// checks the limits section and the workspaces itself.
 func (c *checker) parseSections(table, prefix, text string) []*section {
 	file, err := ini.LoadSources(ini.LoadOptions{
 		IgnoreInlineComment:    true,
@@ -139,8 +142,9 @@
 			}
 			continue
 		}
-		name, ok := strings.CutPrefix(s.Name(), prefix+" ")
-		if !ok || strings.TrimSpace(name) == "" {
+		kind, name, _ := strings.Cut(s.Name(), " ")
+		isWorkspace := table == "routes" && kind == workspacePrefix
+		if kind != prefix && !isWorkspace || strings.TrimSpace(name) == "" {
 			c.addFault(table, s.Name(), "", "is not a section of this table, expected [%s NAME]", prefix)
 			continue
 		}
@@ -149,7 +153,12 @@
 			continue
 		}
 		seen[s.Name()] = true
-		sections = append(sections, &section{checker: c, table: table, ini: s, used: map[string]bool{}})
+		read := &section{checker: c, table: table, ini: s, used: map[string]bool{}}
+		if isWorkspace {
+			c.checkWorkspace(read)
+			continue
+		}
+		sections = append(sections, read)
 	}
 	return sections
 }
@@ -196,6 +205,19 @@
 	return value
 }
 
+func (s *section) number(key string, fallback, low, high float64) float64 {
+	text := s.text(key, "")
+	if text == "" {
+		return fallback
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(value >= low && value <= high) {
+		s.addFault(key, "is %q, expected a number from %g to %g", text, low, high)
+		return fallback
+	}
+	return value
+}
+
 func (s *section) duration(key string, fallback, low, high time.Duration) time.Duration {
 	text := s.text(key, "")
 	if text == "" {
@@ -275,6 +297,8 @@
 			KeyRetention:  s.duration("key_retention", DefaultKeyRetention, time.Second, MaxKeyRetention),
 			MaxBodyBytes:  s.integer("max_body_bytes", DefaultBodyBytes, 0, MaxBodyBytes),
 			Streaming:     s.boolean("streaming", false),
+			Upload:        s.boolean("upload", false),
+			Public:        s.boolean("public", false),
 			Unsupported:   s.text("unsupported", ""),
 		}
 		if !strings.HasPrefix(route.Path, "/") {
@@ -283,6 +307,9 @@
 		if route.Streaming && !route.Idempotent {
 			s.addFault("streaming", "is set on a route that is not idempotent, expected idempotent = yes")
 		}
+		if route.Upload && route.Idempotent {
+			s.addFault("upload", "is set on an idempotent route, expected idempotent = no")
+		}
 		if route.Unsupported == "" {
 			c.checkPoolReferences(s, &route)
 		}
--- a/tables/snapshot.go
+++ b/tables/snapshot.go
@@ -33,6 +33,10 @@
 	// Streaming is set for a route with large responses, which nodes pass on while they receive them. Only an
 	// idempotent route can be streaming, because the response of any other call is kept for copies of the call.
 	Streaming bool
+	// Upload is set for a route with large request bodies. Its requests are not idempotent.
+	Upload bool
+	// Public is set for a route whose callers need no key although the tables define workspaces.
+	Public bool
 	// Unsupported says why this release cannot serve the route; empty if it can. The route still takes the requests
 	// that match it, so that they do not fall to a route with a shorter path, and they are refused.
 	Unsupported string
@@ -72,6 +76,9 @@
 	limits    Limits
 	pools     map[string]Pool
 	byService map[string]Pool
+
+	workspaces map[string]*Workspace
+	byKey      map[KeyFingerprint]*Workspace
 }
 
 // UnsupportedRoutes returns the routes whose requests are refused because this release cannot serve them.
