runner/peer: bytes that arrive answer a probe

A call that is unanswered for 200 ms has its connection probed. The answer waits behind whatever the peer sends ahead of it: behind downloads on a link of 10 Mbit/s for more than the 500 ms of the probe. The connection was then closed, which ended every call on it as lost, although their responses were arriving.

A connection on which any byte has arrived since the probe began is alive.

--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -108,8 +108,9 @@
 	return done, response
 }
 
-// Probe pings the peer on the connection that carries a request, and reports whether the peer answered within
-// probe.Timeout. A connection without an answer in time is closed.
+// Probe pings the peer on the connection that carries a request, and reports whether the peer answered, or any bytes
+// arrived, within probe.Timeout. A connection without either is closed, which ends all calls on it. The answer itself may
+// wait behind a long response or, on a slow link, behind those of other connections.
 func (c *Client) Probe(ctx context.Context, probe reducer.Probe, request *traffic.Request) bool {
 	ctx, cancel := context.WithTimeout(ctx, probe.Timeout)
 	defer cancel()
@@ -119,11 +120,15 @@
 	if err != nil {
 		return false
 	}
+	began := time.Now()
 	if class == ClassBulk { // a long body may take that long to write
 		err = c.invokeOn(ctx, conn, "Peer.Ping", &Empty{}, &Empty{})
 	} else {
 		err = c.ping(ctx, conn)
 	}
+	if errors.Is(err, context.DeadlineExceeded) && conn.observed.lastRead.Load() > began.UnixNano() {
+		err = nil
+	}
 	c.release(key, conn, err)
 	return err == nil
 }
--- a/runner/peer/conn.go
+++ b/runner/peer/conn.go
@@ -36,8 +36,9 @@
 type clientConn struct {
 	ready chan struct{} // closed when rpc, socket, peer, version and err are set
 	rpc   *rpc.Client
-	// socket is the connection below rpc.
-	socket net.Conn
+	// socket is the connection below rpc, and observed the one between them.
+	socket   net.Conn
+	observed *observedConn
 	peer   reducer.PeerRef
 	// version is the negotiated protocol version.
 	version uint32
@@ -207,7 +208,7 @@
 	if c.self.omitsTypeStream(reply, key.class) {
 		codec.skipTypeStream()
 	}
-	conn.socket = socket
+	conn.socket, conn.observed = socket, observed
 	return rpc.NewClientWithCodec(codec), reply.peerRef(), c.self.negotiateVersion(reply), nil
 }
 
--- a/runner/peer/observer.go
+++ b/runner/peer/observer.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -32,11 +33,15 @@
 	net.Conn
 	class    string
 	observer Observer
+	lastRead atomic.Int64 // ns since 1970 of the last bytes read; 0 before the first
 }
 
 func (c *observedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.observer.BytesIn(c.class, n)
+	if n > 0 {
+		c.lastRead.Store(time.Now().UnixNano())
+	}
 	return n, err
 }
 
