--- a/runner/peer/conn.go
+++ b/runner/peer/conn.go
@@ -39,7 +39,7 @@
 	// socket is the connection below rpc, and observed the one between them.
 	socket   net.Conn
 	observed *observedConn
-	peer   reducer.PeerRef
+	peer     reducer.PeerRef
 	// version is the negotiated protocol version.
 	version uint32
 	err     error
