operator, cmd/rosemaryhatchctl: check tables for entries without effect before they are sent

validate finds only tables that nodes would refuse. Valid tables may still hold entries that no request can use, or limits that contradict each other, and operators learned of these by their effects. check prints them as warnings, and what differs from the current version.

--- a/cmd/rosemaryhatchctl/commands.go
+++ b/cmd/rosemaryhatchctl/commands.go
@@ -27,6 +27,8 @@
 	switch name {
 	case "validate":
 		return c.validate()
+	case "check":
+		return c.review(ctx)
 	case "apply":
 		return c.apply(ctx)
 	case "get":
@@ -84,6 +86,33 @@
 	return c.report(result)
 }
 
+// review prints the warnings about valid tables, and what differs from the current version if the store is given. It fails
+// like validate if the tables have faults.
+func (c *command) review(ctx context.Context) operator.Outcome {
+	if outcome := c.validate(); outcome != operator.Done {
+		return outcome
+	}
+	routes, pools, err := operator.ReadTables(c.routes, c.pools)
+	if err != nil {
+		return c.fail(operator.Invalid, err)
+	}
+	document := tables.Document{Version: 1, Routes: routes, Pools: pools, Hash: tables.ContentHash(routes, pools)}
+	snapshot, err := tables.Check(document)
+	if err != nil {
+		return c.fail(operator.Invalid, err)
+	}
+	c.out.WriteWarnings(operator.Review(snapshot, c.timeout))
+	if c.platform == "" {
+		return operator.Done
+	}
+	current, err := c.runner.FetchCurrent(ctx)
+	if err != nil {
+		return c.fail(operator.Failed, err)
+	}
+	c.out.WriteChanges(operator.Difference(current, document))
+	return operator.Done
+}
+
 func (c *command) apply(ctx context.Context) operator.Outcome {
 	routes, pools, err := operator.ReadTables(c.routes, c.pools)
 	if err != nil {
--- a/cmd/rosemaryhatchctl/main.go
+++ b/cmd/rosemaryhatchctl/main.go
@@ -83,6 +83,9 @@
 func addTableCommands(app *kingpin.Application, f *flags) {
 	validate := app.Command("validate", "Check both tables without applying them.")
 	addTableArgs(validate, f)
+	check := app.Command("check", "Check both tables before they are sent: faults, entries without effect, contradictory limits and, with --platform, what differs from the current version.")
+	addTableArgs(check, f)
+	check.Flag("shutdown-timeout", "Shutdown timeout of the nodes, to compare with the timeouts of routes.").DurationVar(&f.timeout)
 	apply := app.Command("apply", "Write both tables as a new version.")
 	addTableArgs(apply, f)
 	apply.Flag("expect", "Version that the tables are based on, 0 for an empty store.").Required().Uint64Var(&f.expect)
--- a/operator/faults.go
+++ b/operator/faults.go
@@ -13,8 +13,9 @@
 
 // Known keys of the tables, for messages about unknown keys.
 const (
-	routeKeys = "host, path, methods, pool, priority, idempotent, timeout, retries, key_retention, max_body_bytes, split, target_latency, streaming"
-	poolKeys  = "service, queue_limit, ramp, min_share.0 to min_share.7"
+	routeKeys     = "host, path, methods, pool, priority, idempotent, timeout, retries, key_retention, max_body_bytes, split, target_latency, streaming, upload, public"
+	workspaceKeys = "keys, priority, rate, burst"
+	poolKeys      = "service, queue_limit, ramp, max_connections, min_share.0 to min_share.7"
 )
 
 // CheckTables checks new tables and returns one line per fault, with file, section, key and what was expected. It is
@@ -109,6 +110,8 @@
 		return ", expected a name"
 	case fault.Problem == "is not a known key" && fault.Table == "pools":
 		return ", expected one of " + poolKeys
+	case fault.Problem == "is not a known key" && strings.HasPrefix(fault.Section, "workspace "):
+		return ", expected one of " + workspaceKeys
 	case fault.Problem == "is not a known key":
 		return ", expected one of " + routeKeys
 	case fault.Key == "pool":
--- a/operator/output.go
+++ b/operator/output.go
@@ -93,6 +93,18 @@
 	})
 }
 
+// WriteWarnings prints the warnings of a review.
+func (o Output) WriteWarnings(warnings []Warning) {
+	if warnings == nil {
+		warnings = []Warning{}
+	}
+	o.write(warnings, func(w io.Writer) {
+		for _, warning := range warnings {
+			fmt.Fprintln(w, "warning:", warning)
+		}
+	})
+}
+
 func writeChanges(w io.Writer, changes []Change) {
 	for _, change := range changes {
 		fmt.Fprintln(w, " ", change)
