runner/peer: pacing of large bodies on the link of the instance

A body of a download held up the small calls on the same connection and link: parts of 64 KiB went out as fast as TCP took them, and a request with its body was one frame.

With [instance] link_mbps, bodies above 16 KiB go out in chunks of 16 KiB at 0.85 of the link while there are small calls. Responses move with ReadStream on the bulk connection, also those of routes that are not streaming. A request's body goes ahead of its call in parts, once the target has agreed (BeginUpload, WriteUpload); without it the call does not run. Responses to callers on other instances share the pacer. Without the setting nothing changes.

TestPartCanBeFetchedAgain names the size of parts, which is now a field.

--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/runner/control"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/ingress"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/link"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/operator"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/peer"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/store"
@@ -142,14 +143,18 @@
 	}
 	n.backend = backend.NewRunner(n.responses, front, n.thread, n.mailboxes)
 	n.peerClient = peer.NewClient(self, n.thread.Post, n.metrics)
+	pacer := link.New(s.Instance.LinkMbps)
+	n.peerClient.SetPacer(pacer)
 	n.peerServer = peer.NewServer(self, n.listeners.Peers, &target.Handler{
 		Control: n.thread, Mailboxes: n.mailboxes, Responses: n.responses,
 		Starter: backend.Starter{Backend: n.backend, Tracer: n.tracer, Post: n.thread.Post, Workers: n.workers},
 		Tracer:  n.tracer, Logger: n.logger, LogLimiter: n.callLogLimiter,
 	}, n.logger, n.metrics)
+	n.peerServer.SetPacer(pacer)
+	n.metrics.RegisterLink(pacer.PacedBytes, pacer.WaitTime)
 	n.ingress = ingress.NewServer(ingress.Options{
 		Control: n.thread, Mailboxes: n.mailboxes, Responses: n.responses, Forwarder: n.peerClient, Backend: n.backend,
-		Front: front, Tracer: n.tracer, Logger: n.logger, Workers: n.workers, OnRefused: n.metrics.CallerRefused,
+		Front: front, Tracer: n.tracer, Logger: n.logger, Workers: n.workers, Pacer: pacer, OnRefused: n.metrics.CallerRefused,
 	})
 	n.store = store.New(kv, source, n.thread.Post)
 	registrations := backend.RegisterHandler(n.thread, n.mailboxes, backend.Expected{
--- a/runner/ingress/http.go
+++ b/runner/ingress/http.go
@@ -148,7 +148,7 @@
 	w.WriteHeader(response.Status)
 	if len(response.Body) > 0 {
 		// An error means that the caller has disconnected, which is not a failure of the call.
-		_, _ = w.Write(response.Body)
+		_ = s.pacerFor(r).Write(r.Context(), w, response.Body)
 	}
 	if response.Rest != nil {
 		s.writeRest(w, r, response.Rest)
@@ -162,7 +162,7 @@
 	for {
 		part, err := rest.Next(r.Context())
 		if err == nil {
-			_, err = w.Write(part)
+			err = s.pacerFor(r).Write(r.Context(), w, part)
 		}
 		switch {
 		case err == io.EOF:
--- a/runner/ingress/server.go
+++ b/runner/ingress/server.go
@@ -18,6 +18,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/link"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/telemetry"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
@@ -64,6 +65,7 @@
 	Front     frontend.FrontEnd // frontend.Native if nil
 	Tracer    *telemetry.Tracer
 	Logger    log.Logger
+	Pacer     *link.Pacer         // of large responses; nil for none
 	Workers   *traffic.Workers    // goroutines for outgoing requests; may be nil
 	OnRefused func(reason string) // called for each connection or request that the server itself refuses; may be nil
 }
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/link"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
 
@@ -31,6 +32,7 @@
 	// senderIdleTimeout is the constant of the same name, unless a test shortens it.
 	senderIdleTimeout time.Duration
 	packer            packer
+	pacer             *link.Pacer
 
 	mu         sync.Mutex
 	conns      map[connKey]*clientConn
@@ -55,6 +57,9 @@
 	return c
 }
 
+// SetPacer sets the pacer of large bodies. It must be called before the first call.
+func (c *Client) SetPacer(pacer *link.Pacer) { c.pacer = pacer }
+
 // Close closes all connections and waits for the client's goroutines.
 func (c *Client) Close() {
 	c.cancel()
@@ -80,7 +85,15 @@
 		return done, nil
 	}
 	var answer Answer
-	key := connKey{f.To.Address, classFor(args, request)}
+	key := connKey{f.To.Address, c.classFor(args, request)}
+	if c.isLarge(request) {
+		if refused := c.sendAhead(ctx, key, f, args); refused != nil {
+			return *refused, nil
+		}
+	} else if !f.Streaming {
+		c.pacer.NoteSmall()
+	}
+	args.Parts = c.pacer != nil
 	err := c.invoke(ctx, key, "Peer.Forward", args, &answer)
 	if err != nil {
 		if args.maybeSent.Load() {
@@ -96,8 +109,8 @@
 	if response == nil || !answer.HasRest {
 		return done, response
 	}
-	response.Rest, response.Length = c.newPeerStream(f, key, len(answer.Body)), answer.Length
-	switch err := response.ReadWhole(ctx); {
+	response.Rest, response.Length = c.newPeerStream(f, c.streamKey(key), len(answer.Body)), answer.Length
+	switch err := readRest(ctx, response, f.Streaming); {
 	case errors.Is(err, errBrokenOff):
 		done.Outcome, done.Reason, done.Status = reducer.OutcomeUnknown, reducer.ReasonBackendFailed, 0
 		return done, nil
@@ -113,7 +126,7 @@
 func (c *Client) Probe(ctx context.Context, probe reducer.Probe, request *traffic.Request) bool {
 	ctx, cancel := context.WithTimeout(ctx, probe.Timeout)
 	defer cancel()
-	class := classFor(wireForward(ctx, reducer.Forward{}, request), request)
+	class := c.classFor(wireForward(ctx, reducer.Forward{}, request), request)
 	key := connKey{probe.To.Address, class}
 	conn, err := c.acquire(ctx, key)
 	if err != nil {
--- a/runner/peer/server.go
+++ b/runner/peer/server.go
@@ -19,6 +19,7 @@
 	"github.com/go-kit/log/level"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/link"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
 
@@ -63,6 +64,8 @@
 	refusals   chan struct{} // semaphore for maxRefusals
 	calls      inflight      // calls of peers whose answer has not been written, and streams
 	streams    servedStreams
+	uploads    uploads
+	pacer      *link.Pacer
 
 	mu         sync.Mutex
 	conns      map[net.Conn]struct{}
@@ -83,6 +86,9 @@
 	return s
 }
 
+// SetPacer sets the pacer of large bodies. It must be called before Serve.
+func (s *Server) SetPacer(pacer *link.Pacer) { s.pacer = pacer }
+
 // Serve accepts connections until Close.
 func (s *Server) Serve() {
 	for {
@@ -148,6 +154,7 @@
 func (s *Server) Close() {
 	s.listener.Close()
 	s.streams.closeAll()
+	s.uploads.clear()
 	s.mu.Lock()
 	for conn := range s.conns {
 		conn.Close()
@@ -188,6 +195,7 @@
 	disconnected := make(chan struct{})
 	service := &service{
 		peer: peer.peerRef(), version: s.self.negotiateVersion(peer), handler: s.handler, maxResponseBytes: class.maxResponseBytes(), disconnected: disconnected, streams: &s.streams,
+		uploads: &s.uploads, pacer: s.pacer,
 	}
 	if err := server.RegisterName("Peer", service); err != nil {
 		panic(err) // cannot fail: the service has the methods that net/rpc expects
@@ -283,17 +291,26 @@
 	maxResponseBytes int // largest frame of an answer, in bytes without the frame header
 	disconnected     <-chan struct{}
 	streams          *servedStreams
+	uploads          *uploads
+	pacer            *link.Pacer
 }
 
 // Forward serves a call that the peer forwards.
 func (s *service) Forward(args *ForwardArgs, reply *Answer) error {
 	deadline := time.Now().Add(time.Duration(args.TimeLeft))
+	if !s.takeUpload(args) {
+		reply.Outcome, reply.Reason = uint8(reducer.OutcomeNotRun), uint8(reducer.ReasonBodyIncomplete)
+		return nil
+	}
 	answer, response := s.handler.Forward(args.toInput, args.toRequest(), s.disconnected)
 	reply.Outcome, reply.Reason, reply.Load = uint8(answer.Outcome), uint8(answer.Reason), wireLoad(answer.Load)
 	reply.RetriesUsed = answer.RetriesUsed
 	reply.Took = int64(answer.Took)
 	reply.Status = answer.Status
 	reply.setResponse(response)
+	if !args.Streaming && len(reply.Body) <= link.LargeBytes {
+		s.pacer.NoteSmall()
+	}
 	s.splitResponse(args, reply, response, deadline)
 	reply.truncateTo(s.maxResponseBytes)
 	return nil
--- a/runner/peer/size.go
+++ b/runner/peer/size.go
@@ -47,8 +47,8 @@
 }
 
 // classFor returns the class of the connection that carries a request.
-func classFor(args *ForwardArgs, request *traffic.Request) Class {
-	if len(request.Body) > maxCallBodyBytes || args.maxSize() > ClassCall.maxRequestBytes() {
+func (c *Client) classFor(args *ForwardArgs, request *traffic.Request) Class {
+	if c.isLarge(request) || len(request.Body) > maxCallBodyBytes || args.maxSize() > ClassCall.maxRequestBytes() {
 		return ClassBulk
 	}
 	return ClassCall
--- a/runner/peer/stream.go
+++ b/runner/peer/stream.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/link"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
 
@@ -51,17 +52,18 @@
 // servedStream is a response that a peer fetches in parts. A part can be fetched again until the next one is, because
 // an answer may be lost with its connection.
 type servedStream struct {
-	fetching sync.Mutex // held while a part is fetched
-	body     []byte     // received, not sent yet
-	rest     traffic.BodyStream
-	sent     int64 // bytes of the parts before last
-	last     StreamPart
-	ctx      context.Context
-	cancel   context.CancelFunc
+	fetching  sync.Mutex // held while a part is fetched
+	partBytes int
+	body      []byte // received, not sent yet
+	rest      traffic.BodyStream
+	sent      int64 // bytes of the parts before last
+	last      StreamPart
+	ctx       context.Context
+	cancel    context.CancelFunc
 }
 
 // add registers the rest of a response until the deadline of its call. It returns false if there are too many.
-func (s *servedStreams) add(key streamKey, first int64, body []byte, rest traffic.BodyStream, deadline time.Time) bool {
+func (s *servedStreams) add(key streamKey, partBytes int, first int64, body []byte, rest traffic.BodyStream, deadline time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.byCall == nil {
@@ -70,7 +72,7 @@
 	if len(s.byCall) >= maxServedStreams || s.byCall[key] != nil {
 		return false
 	}
-	stream := &servedStream{body: body, rest: rest, sent: first}
+	stream := &servedStream{partBytes: partBytes, body: body, rest: rest, sent: first}
 	stream.ctx, stream.cancel = context.WithDeadline(context.Background(), deadline)
 	context.AfterFunc(stream.ctx, func() { s.remove(key, stream) })
 	s.byCall[key] = stream
@@ -136,7 +138,7 @@
 // next takes the next part from the received bytes or from the backend server.
 func (t *servedStream) next() StreamPart {
 	if len(t.body) > 0 {
-		n := min(len(t.body), traffic.PartBytes)
+		n := min(len(t.body), t.partBytes)
 		part := StreamPart{Data: t.body[:n], End: n == len(t.body) && t.rest == nil}
 		t.body = t.body[n:]
 		return part
@@ -145,6 +147,10 @@
 		return StreamPart{End: true}
 	}
 	data, err := t.rest.Next(t.ctx)
+	if len(data) > t.partBytes {
+		t.body = data[t.partBytes:]
+		data = data[:t.partBytes]
+	}
 	switch {
 	case err == io.EOF:
 		return StreamPart{End: true}
@@ -157,12 +163,13 @@
 
 // splitResponse keeps the first part of a long response in the answer and registers the rest, if the peer takes parts.
 func (s *service) splitResponse(args *ForwardArgs, reply *Answer, response *traffic.Response, deadline time.Time) {
-	if !args.Streaming || response == nil || len(reply.Body) <= traffic.PartBytes && response.Rest == nil {
+	partBytes := s.partBytes()
+	if !s.takesParts(args) || response == nil || len(reply.Body) <= partBytes && response.Rest == nil {
 		return
 	}
-	first := min(len(reply.Body), traffic.PartBytes)
+	first := min(len(reply.Body), partBytes)
 	key := streamKey{args.ID.toCallID(), args.Attempt}
-	if !s.streams.add(key, int64(first), reply.Body[first:], response.Rest, deadline) {
+	if !s.streams.add(key, partBytes, int64(first), reply.Body[first:], response.Rest, deadline) {
 		if response.Rest != nil { // too long to be sent as a whole
 			response.Rest.Close()
 			reply.HasResponse, reply.Body = false, nil
@@ -175,6 +182,7 @@
 		reply.Length = response.Length
 	}
 	reply.Body = reply.Body[:first]
+	_ = s.pacedOut(context.Background(), deadline, first) // an error means that the call's time is over
 }
 
 // ReadStream replies with a part of the response to a call.
@@ -188,6 +196,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.pacer.WaitOut(stream.ctx, len(part.Data)); err != nil {
+		return err
+	}
 	*reply = part
 	return nil
 }
@@ -232,6 +243,9 @@
 	defer cancel()
 	var part StreamPart
 	args := s.args // the codec may still read it after an RPC that was given up
+	if err := s.client.pacer.WaitIn(ctx, link.ChunkBytes); err != nil {
+		return nil, err
+	}
 	if err := s.client.invoke(ctx, s.key, "Peer.ReadStream", &args, &part); err != nil {
 		return nil, err
 	}
--- a/runner/peer/stream_test.go
+++ b/runner/peer/stream_test.go
@@ -158,7 +158,7 @@
 // Guards against bytes that are skipped when an answer with a part was lost and the part is asked for again.
 func TestPartCanBeFetchedAgain(t *testing.T) {
 	body := pattern(3 * traffic.PartBytes)
-	stream := &servedStream{body: body, ctx: context.Background()}
+	stream := &servedStream{partBytes: traffic.PartBytes, body: body, ctx: context.Background()}
 	for _, offset := range []int{0, 0, 1, 1, 2} {
 		part, err := stream.part(int64(offset * traffic.PartBytes))
 		if err != nil || !bytes.Equal(part.Data, body[offset*traffic.PartBytes:(offset+1)*traffic.PartBytes]) || part.End != (offset == 2) {
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -109,6 +109,8 @@
 	DueIn             int64  // ns until the due time; negative when it has passed, 0 when there is none
 	Streaming         bool   // the sender takes a long response in parts
 	Workspace         string // whose key the caller sent; empty for none
+	Parts             bool   // the sender takes any long response in parts
+	Uploaded          bool   // the body came ahead of the call
 
 	Method string
 	URI    string
