--- a/internal/measure/policy/cluster.go
+++ b/internal/measure/policy/cluster.go
@@ -226,7 +226,7 @@
 		to.forwards[to.lastHandle] = replyTarget{n, e.Call, e.Attempt}
 		to.reduce(reducer.ForwardArrived{
 			Call: to.lastHandle, ID: e.ID, Attempt: e.Attempt, Route: e.Route, Pool: e.Pool, Priority: e.Priority,
-			Idempotent: e.Idempotent, TimeLeft: e.TimeLeft, DueIn: e.DueIn, TargetIncarnation: e.To.Incarnation, Limits: e.Limits,
+			Idempotent: e.Idempotent, TimeLeft: e.TimeLeft, DueIn: e.DueIn, TargetIncarnation: e.To.Incarnation, Limits: e.Limits, Nested: e.Nested,
 		})
 	})
 }
--- a/internal/pump/links.go
+++ b/internal/pump/links.go
@@ -122,7 +122,7 @@
 	n.post(0, reducer.ForwardArrived{
 		Call: handle, ID: f.ID, Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority,
 		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: f.KeyRetention, TimeLeft: f.TimeLeft, DueIn: f.DueIn,
-		TargetIncarnation: f.To.Incarnation, Limits: f.Limits, Streaming: f.Streaming, Workspace: f.Workspace,
+		TargetIncarnation: f.To.Incarnation, Limits: f.Limits, Streaming: f.Streaming, Workspace: f.Workspace, Nested: f.Nested,
 	})
 }
 
--- a/reducer/admission.go
+++ b/reducer/admission.go
@@ -29,6 +29,8 @@
 		return ReasonRecordsFull
 	case s.cannotMeetDeadline(call, pool):
 		return ReasonDeadline
+	case s.isWithheldHere(call):
+		return ReasonNestedFailing
 	case !s.makeRoom(call, pool):
 		return ReasonQueueFull
 	}
@@ -48,7 +50,10 @@
 	slots := s.slots()
 	q.advance(s.now, slots, pool)
 	service, deviation := s.expectedService(call)
-	q.noteShortestService(call.priority, service)
+	q.noteShortest(call, service)
+	if call.nested {
+		return missesDeadline(q.nestedWait(slots, pool, call.due), service, deviation, call.deadline-s.now)
+	}
 	if call.due > 0 {
 		call.late = missesDeadline(q.wait(call.priority, slots, pool, call.due), service, deviation, call.due-s.now)
 	}
@@ -70,7 +75,7 @@
 // requeueIfLate reports whether a call that pop returned has become late and does not start now. It is queued again
 // behind those that can still end by their due time, or refused if it would miss its deadline there.
 func (s *State) requeueIfLate(call *targetCall) bool {
-	if call.late || call.due == 0 {
+	if call.late || call.nested || call.due == 0 {
 		return false
 	}
 	service, deviation := s.expectedService(call)
@@ -104,7 +109,7 @@
 func (s *State) isTooLateToStart(call *targetCall) bool {
 	left := call.deadline - s.now
 	need, deviation := s.expectedService(call)
-	if s.target.queue.waiting[call.priority].count > 0 && !call.late {
+	if s.target.queue.list(call).count > 0 && !call.late {
 		need += startDeviations * deviation
 	}
 	return left <= 0 || need > left
@@ -115,6 +120,9 @@
 	q := &s.target.queue
 	for q.count >= pool.QueueLimit || s.target.queuedBytes+call.bytes > s.cfg.Limits.MaxQueuedBytes {
 		candidate := q.evictionCandidate(call.priority, pool)
+		if call.nested {
+			candidate = q.evictionForNested(pool)
+		}
 		if candidate == nil {
 			return false
 		}
@@ -215,5 +223,6 @@
 		report.Waits[priority] = q.wait(priority, report.Slots, pool, 0)
 		report.LateWaits[priority] = q.lateWait(priority, report.Slots, pool, q.shortestService[priority].time)
 	}
+	q.addToReport(&report, pool)
 	return report
 }
--- a/reducer/choose.go
+++ b/reducer/choose.go
@@ -108,7 +108,7 @@
 	if len(usable) == 0 {
 		return Member{}, ReasonNoUpstream
 	}
-	return s.pickLowestCost(usable, call.route.Priority, pool.Ramp).Member, ReasonNone
+	return s.pickLowestCost(usable, call.loadClass(), pool.Ramp).Member, ReasonNone
 }
 
 // pickLowestCost samples each distance group and returns the upstream with the lowest sum of expected wait and spill
@@ -242,14 +242,14 @@
 	slots = max(report.Slots, 1)
 	free := max(report.Slots-report.Running-report.Queued, 0)
 	added := max(load.sentSinceReport-free, 0)
-	return report.Waits[priority] + report.ServiceTime*time.Duration(added)/time.Duration(slots)
+	return report.waitOf(priority) + report.ServiceTime*time.Duration(added)/time.Duration(slots)
 }
 
 func (s *State) estimateLocalWait(priority int) time.Duration {
 	pool, _ := s.config.active.PoolOfService(s.backend.service)
 	slots := s.slots()
 	s.target.queue.advance(s.now, slots, pool)
-	return s.target.queue.wait(priority, slots, pool, 0)
+	return s.target.queue.waitOf(priority, slots, pool, 0)
 }
 
 // penalizedWait returns the expected wait plus a penalty in proportion to the failure rate. Without it an upstream that
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -63,6 +63,7 @@
 	RequestID    string
 	Streaming    bool // the response may be passed on while it is received
 	Workspace    string
+	Nested       bool // as in ForwardArrived
 }
 
 // Probe checks whether the connection of a forwarded attempt answers within Timeout. A connection that does
@@ -251,6 +252,7 @@
 	Attempts  int
 	Elapsed   time.Duration
 	TimeLeft  time.Duration // until the deadline of the call
+	Nested    bool          // a backend server made the call for a request that it runs
 }
 
 // CallQueued reports how long a call waited at this node for a slot of the backend server.
--- a/reducer/estimate.go
+++ b/reducer/estimate.go
@@ -24,12 +24,14 @@
 	at   time.Duration
 }
 
-// decayArrivals reduces the weight of past arrivals; elapsed is the time since the last reduction in seconds.
-func (q *priorityQueue) decayArrivals(elapsed float64) {
+// decayArrivals reduces the weight of past arrivals by the factor that it returns; elapsed is the time since the last
+// reduction in seconds.
+func (q *priorityQueue) decayArrivals(elapsed float64) float64 {
 	factor := math.Exp(-elapsed / arrivalDecay.Seconds())
 	for p := range q.arrivedWork {
 		q.arrivedWork[p] *= factor
 	}
+	return factor
 }
 
 // arrivalRate returns the slot time per second that admitted calls of a priority bring.
@@ -75,7 +77,8 @@
 	if q.running < slots && q.count == 0 {
 		return 0
 	}
-	rate, ahead := float64(max(slots, 1)), q.meanRunningCost()
+	rate := float64(max(slots, 1)) - q.nested.arrivalRate(slots, pool)
+	ahead := q.meanRunningCost() + q.nested.list.work.Seconds()
 	for p := range q.waiting {
 		if p > priority && q.waiting[p].letsGoFirst(cost) {
 			rate -= q.shareRateInUse(p, slots, pool)
@@ -102,8 +105,8 @@
 // waitByPriority estimates the wait in seconds by the order of priorities, +Inf when the arrivals that go first take
 // all slots.
 func (q *priorityQueue) waitByPriority(priority, slots int, pool tables.Pool, due time.Duration) float64 {
-	rate := float64(max(slots, 1))
-	ahead := q.meanRunningCost()
+	rate := float64(max(slots, 1)) - q.nested.arrivalRate(slots, pool)
+	ahead := q.meanRunningCost() + q.nested.list.work.Seconds()
 	for p := range q.waiting {
 		switch {
 		case p < priority:
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -133,6 +133,7 @@
 	RequestID         string // the caller's identifier of the request; for logs only
 	Streaming         bool   // the peer can take the response while it is received
 	Workspace         string // whose key the caller sent; empty for none
+	Nested            bool   // a backend server made the call for a request that it runs
 }
 
 // ForwarderGone reports that the peer connection on which a forwarded call arrived was closed.
--- a/reducer/hedge.go
+++ b/reducer/hedge.go
@@ -36,7 +36,7 @@
 // may be refused. Without hedging, every call to an upstream that has become slow is late until enough late calls eject
 // it.
 func (s *State) tryHedge(call *ingressCall) bool {
-	if at := call.hedgeTime(); at == 0 || s.now < at {
+	if at := call.hedgeTime(); at == 0 || s.now < at || s.admittedShare(call.route.Name) < 1 {
 		return false
 	}
 	pool, ok := s.config.active.Pool(call.route.Pool)
@@ -47,7 +47,7 @@
 	if len(targets) == 0 || !s.takeRetry(call) {
 		return false
 	}
-	next := s.pickLessLoaded(targets, call.route.Priority, pool.Ramp)
+	next := s.pickLessLoaded(targets, call.loadClass(), pool.Ramp)
 	s.logCall(call, "attempt is slow, another one starts beside it", Field{"attempt", call.attempt}, Field{"target", call.target.Node},
 		Field{"waited", s.now - call.sentAt}, Field{"expected", call.expectedDuration}, Field{"next", next.Node}, Field{"time_left", call.deadline - s.now})
 	call.hedged, call.lastReason = true, ReasonDeadline
@@ -61,12 +61,12 @@
 // filterHedgeTargets removes, in place, the upstreams that are not expected to finish a call in time by a fresh report
 // of calls of the same priority: an upstream that refuses all calls also has a short queue.
 func (s *State) filterHedgeTargets(upstreams []*servingUpstream, call *ingressCall) []*servingUpstream {
-	priority := call.route.Priority
+	priority := call.loadClass()
 	return slices.DeleteFunc(s.filterFittingUpstreams(upstreams, call), func(u *servingUpstream) bool {
 		if u.Node == s.cfg.Self {
-			return s.target.queue.shortestService[priority].time == 0
+			return s.target.queue.shortestOf(priority) == 0
 		}
-		return u.load.report.ShortestServiceTimes[priority] == 0 || !u.load.hasFreshReport(s.now, earlyReportMaxAge)
+		return u.load.report.shortestOf(priority) == 0 || !u.load.hasFreshReport(s.now, earlyReportMaxAge)
 	})
 }
 
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/nested"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -75,6 +76,8 @@
 	// hedged is set once a second attempt was started in parallel; earlier is the first one while it is open.
 	hedged  bool
 	earlier *earlierAttempt
+	nested  bool           // see noteNested
+	madeBy  []nested.Share // probabilities of the routes whose requests may have made a nested call
 }
 
 // ingressState holds the calls that entered at this node and have not finished.
@@ -106,10 +109,15 @@
 		return
 	}
 	call := s.newIngressCall(in, route, workspace)
+	s.noteNested(call)
 	if call.key == "" && s.shouldRefuseEarly(call) {
 		s.failCall(call, OutcomeNotRun, ReasonDeadline)
 		return
 	}
+	if call.key == "" && s.isWithheld(call) {
+		s.failCall(call, OutcomeNotRun, ReasonNestedFailing)
+		return
+	}
 	s.addRetryTokens()
 	s.timers.set(timerKey{kind: timerIngressDeadline, call: call.handle}, call.deadline)
 	if in.BodyBytes == 0 {
@@ -292,7 +300,7 @@
 	call.limits.RetriesLeft = s.retriesLeft(call)
 	call.sentAt = s.now
 	if call.route.Idempotent {
-		call.expectedDuration = s.estimateDuration(&servingUpstream{Member: target, load: s.loadOf(target.Node)}, call.route.Priority)
+		call.expectedDuration = s.estimateDuration(&servingUpstream{Member: target, load: s.loadOf(target.Node)}, call.loadClass())
 	}
 	if target.Node == s.cfg.Self {
 		s.setPhase(call, ingressLocal)
@@ -308,7 +316,7 @@
 		Route: call.route.Name, Pool: call.route.Pool, Priority: call.route.Priority,
 		Idempotent: call.route.Idempotent, Key: call.key, KeyRetention: call.route.KeyRetention,
 		TimeLeft: left, DueIn: s.timeUntilDue(call), Limits: call.limits, RequestID: call.requestID,
-		Streaming: call.route.Streaming, Workspace: call.workspace,
+		Streaming: call.route.Streaming, Workspace: call.workspace, Nested: call.nested,
 	})
 	s.timers.set(timerKey{kind: timerIngressCheck, call: call.handle}, s.nextCheckTime(call))
 }
@@ -369,6 +377,7 @@
 		return
 	}
 	s.observeForward(call, in)
+	s.learnFromReport(call, &in.Load)
 	s.chargeRetries(call, in.RetriesUsed)
 	switch in.Result {
 	case ForwardAnswered:
@@ -515,6 +524,7 @@
 // finish removes a call whose attempts have ended.
 func (s *State) finish(call *ingressCall, outcome Outcome, reason Reason) {
 	s.setPhase(call, ingressFinished)
+	s.noteNestedEnd(call, outcome, reason)
 	s.ingress.reservedBytes -= call.reservedBytes
 	delete(s.ingress.calls, call.handle)
 	s.timers.cancel(timerKey{kind: timerIngressDeadline, call: call.handle})
@@ -524,7 +534,7 @@
 	s.emit(CallFinished{
 		Call: call.handle, ID: call.id, RequestID: call.requestID, Target: call.target.Node, Version: call.version,
 		Route: call.route.Name, Workspace: call.workspace, Priority: call.route.Priority,
-		Outcome: outcome, Reason: reason, Attempts: call.attempt, Elapsed: s.now - call.arrivedAt, TimeLeft: call.deadline - s.now,
+		Outcome: outcome, Reason: reason, Attempts: call.attempt, Elapsed: s.now - call.arrivedAt, TimeLeft: call.deadline - s.now, Nested: call.nested,
 	})
 	s.handOverWhenIdle()
 }
--- /dev/null
+++ b/reducer/nested_test.go
@@ -0,0 +1,81 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/nested"
+)
+
+// Guards against a route that stays held back when the nodes that reported it fall silent.
+func TestWithheldRouteIsAdmittedWhenReportsStop(t *testing.T) {
+	s := New(testTables(t, nestedRoutes, nestedPools))
+	call := &ingressCall{}
+	call.route.Name = "check"
+	s.now = time.Second
+	s.learnFromReport(call, &LoadReport{Withheld: 80})
+	if share := s.admittedShare("check"); share < 0.199 || share > 0.201 {
+		t.Errorf("%.2f are admitted after a report of 80%%", share)
+	}
+	s.now += withheldTTL + 1
+	if share := s.admittedShare("check"); share != 1 {
+		t.Errorf("%.2f are admitted without reports, expected all", share)
+	}
+}
+
+// Guards against nested calls that take all slots for good while other calls wait, and against ones that wait behind calls
+// that have not begun.
+func TestNestedCallsGoFirstWithinTheirShare(t *testing.T) {
+	pool := testSnapshot(t, "[route r]\npool = p\n", "[pool p]\nservice = s\nmin_share.7 = 40\n")
+	p, _ := pool.Pool("p")
+	var q priorityQueue
+	q.init()
+	const slots, cost = 4, 10 * time.Millisecond
+	q.service.add("r", cost, 0)
+	started := [2]int{}
+	for now := time.Duration(0); now < 10*time.Second; now += cost {
+		for range slots {
+			q.push(&targetCall{route: "r", nested: true, due: now + time.Second})
+			q.push(&targetCall{route: "r"})
+		}
+		for range slots {
+			call := q.pop(now, slots, p)
+			if call.nested {
+				started[0]++
+			} else {
+				started[1]++
+			}
+			q.accountStart(call, slots, p)
+			q.accountEnd(call, BackendRequestDone{Elapsed: cost}, slots, p)
+		}
+	}
+	if share := 100 * started[0] / (started[0] + started[1]); share < 55 || share > 65 {
+		t.Errorf("nested calls take %d in 100 of the slots, expected what the minimum share of 40 leaves", share)
+	}
+}
+
+// Guards against an ordinary call, or one that arrives while nothing runs, that counts as nested.
+func TestOnlyLearnedRoutesAreNested(t *testing.T) {
+	s := New(testTables(t, nestedRoutes, nestedPools))
+	isNested := func() bool {
+		call := &ingressCall{due: time.Second, limits: CallLimits{Depth: 1}}
+		call.route.Name = "status"
+		s.noteNested(call)
+		return call.nested
+	}
+	if isNested() {
+		t.Error("a route counts as nested before anything is learned")
+	}
+	call := &ingressCall{}
+	call.route.Name = "status"
+	s.learnFromReport(call, &LoadReport{RouteNested: nested.Nested})
+	if !isNested() {
+		t.Error("a route that its target has learned does not count as nested")
+	}
+	for range 20 {
+		isNested()
+	}
+	if isNested() {
+		t.Error("a route whose calls arrive while nothing runs counts as nested")
+	}
+}
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -110,6 +110,7 @@
 	lastSeq         uint64
 	service         serviceTimes
 	shortestService [tables.Priorities]shortestService
+	nested          nestedQueue
 }
 
 func (q *priorityQueue) init() { q.service.init() }
@@ -124,7 +125,9 @@
 	call.cost = q.service.statsOf(call.route).mean
 	q.lastSeq++
 	call.queueSeq = q.lastSeq
-	if !call.late {
+	if call.nested {
+		q.nested.arrived += call.cost.Seconds()
+	} else if !call.late {
 		q.arrivedWork[call.priority] += call.cost.Seconds()
 	}
 	q.insert(call)
@@ -138,6 +141,9 @@
 
 // list returns the list that a call belongs to.
 func (q *priorityQueue) list(call *targetCall) *callList {
+	if call.nested {
+		return &q.nested.list
+	}
 	if call.late {
 		return &q.late[call.priority]
 	}
@@ -188,6 +194,10 @@
 	if q.discipline == DisciplineFIFO {
 		return q.oldest(), false
 	}
+	nested := q.nested.list.head
+	if nested != nil && q.nested.credit > 0 {
+		return nested, false
+	}
 	for p := range q.waiting {
 		head := q.waiting[p].head
 		if head == nil {
@@ -200,6 +210,9 @@
 			return head, true
 		}
 	}
+	if call == nil && nested != nil {
+		return nested, false
+	}
 	for p := range q.late {
 		if head := q.late[p].head; head != nil && (call == nil || head.goesAheadOf(call)) {
 			return head, false
@@ -241,6 +254,10 @@
 // charge takes slot time from a priority's credit. Slot time for the minimum share counts in full. Other slot time,
 // which no call of higher precedence waited for, adds debt only up to what the share earns in shareWindow.
 func (q *priorityQueue) charge(call *targetCall, cost time.Duration, slots int, pool tables.Pool) {
+	if call.nested {
+		q.nested.charge(cost, slots, pool)
+		return
+	}
 	credit := &q.credit[call.priority]
 	balance := *credit - cost.Seconds()
 	if !call.fromMinShare {
@@ -264,7 +281,7 @@
 	if elapsed <= 0 {
 		return
 	}
-	q.decayArrivals(elapsed)
+	q.nested.advance(elapsed, q.decayArrivals(elapsed), slots, pool)
 	for p := range q.credit {
 		rate := q.shareRate(p, slots, pool)
 		maxCredit := 0.0
@@ -278,6 +295,9 @@
 // queuedCalls returns all queued calls, the late ones last.
 func (q *priorityQueue) queuedCalls() []*targetCall {
 	var calls []*targetCall
+	for call := q.nested.list.head; call != nil; call = call.next {
+		calls = append(calls, call)
+	}
 	for _, lists := range [...]*[tables.Priorities]callList{&q.waiting, &q.late} {
 		for p := range lists {
 			for call := lists[p].head; call != nil; call = call.next {
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -105,6 +105,9 @@
 // allowRetry allows one retry after an overload refusal, and only if another upstream is expected to serve the call in
 // time: retries would add load to an overloaded pool. It allows any other retry.
 func (s *State) allowRetry(call *ingressCall, outcome Outcome, reason Reason) bool {
+	if reason == ReasonNestedFailing || isOverloadRefusal(reason) && s.admittedShare(call.route.Name) < 1 {
+		return false
+	}
 	if outcome != OutcomeNotRun || !isOverloadRefusal(reason) {
 		return true
 	}
@@ -137,7 +140,7 @@
 // deadline.
 func (s *State) filterFittingUpstreams(upstreams []*servingUpstream, call *ingressCall) []*servingUpstream {
 	return slices.DeleteFunc(upstreams, func(u *servingUpstream) bool {
-		return s.estimateDuration(u, call.route.Priority) > call.effectiveDeadline(s.now)-s.now
+		return s.estimateDuration(u, call.loadClass()) > call.effectiveDeadline(s.now)-s.now
 	})
 }
 
@@ -147,9 +150,9 @@
 func (s *State) estimateDuration(u *servingUpstream, priority int) time.Duration {
 	wait := s.estimateWait(u, priority)
 	if u.Node == s.cfg.Self {
-		return wait + s.target.queue.shortestService[priority].time
+		return wait + s.target.queue.shortestOf(priority)
 	}
-	return wait + u.load.report.ShortestServiceTimes[priority] + hopMargin + s.extraHopTime(u.Zone)
+	return wait + u.load.report.shortestOf(priority) + hopMargin + s.extraHopTime(u.Zone)
 }
 
 // estimateLateDuration is like estimateDuration for a late call, which waits behind all calls that can still end by
@@ -175,7 +178,7 @@
 		if u.Node != s.cfg.Self && !u.load.hasFreshReport(s.now, earlyReportMaxAge) {
 			return false
 		}
-		wait, duration := s.estimateWait(u, call.route.Priority), s.estimateDuration(u, call.route.Priority)
+		wait, duration := s.estimateWait(u, call.loadClass()), s.estimateDuration(u, call.loadClass())
 		if wait == 0 || duration <= call.effectiveDeadline(s.now)-s.now {
 			return false
 		}
--- a/reducer/retry_after.go
+++ b/reducer/retry_after.go
@@ -30,6 +30,9 @@
 // overload refusal that is the time until the upstream with the shortest queue could serve the call in time if it
 // admitted nothing else meanwhile, within minRetryAfter and the limit set by retryAfterDivisor.
 func (s *State) retryAfter(call *ingressCall, outcome Outcome, reason Reason) time.Duration {
+	if reason == ReasonNestedFailing {
+		return s.withheldRetryAfter(call)
+	}
 	if outcome != OutcomeNotRun || !isOverloadRefusal(reason) {
 		return fixedRetryAfter(reason)
 	}
@@ -43,7 +46,7 @@
 	pool, _ := s.config.active.Pool(call.route.Pool)
 	shortest := maxWait
 	for _, u := range s.usableUpstreams(pool.Service, nil) {
-		shortest = min(shortest, s.estimateDuration(u, call.route.Priority))
+		shortest = min(shortest, s.estimateDuration(u, call.loadClass()))
 	}
 	return shortest
 }
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -47,6 +47,8 @@
 	// itself; nil for a node that receives them from the store or from peers.
 	Tables     *tables.Snapshot
 	Discipline Discipline // order of the queue; measurements and tests set other values than the default
+	// DisableNested treats nested calls like any others, for comparison in measurements and tests.
+	DisableNested bool
 }
 
 // Tunables are the settings that may change while the process runs.
@@ -78,6 +80,7 @@
 	backend  backendState
 	ingress  ingressState
 	target   targetState
+	nested   nestedState
 	owners   ownerState
 	shutdown shutdownState
 	platform platformState
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -31,6 +31,7 @@
 	limits       CallLimits
 	requestID    string
 	workspace    string // empty for none
+	nested       bool   // see State.noteNested
 	bytes        int64
 	phase        targetPhase
 	record       *record       // nil for idempotent calls
@@ -79,8 +80,8 @@
 		handle: call.handle, id: call.id, attempt: call.attempt, route: call.route.Name, key: call.key,
 		keyRetention: call.route.KeyRetention, pool: call.route.Pool, priority: call.route.Priority,
 		idempotent: call.route.Idempotent, local: true, limits: call.limits, bytes: call.reservedBytes, requestID: call.requestID, streaming: call.route.Streaming,
-		workspace: call.workspace,
-		deadline:  call.deadline, due: call.due,
+		workspace: call.workspace, nested: call.nested,
+		deadline: call.deadline, due: call.due,
 	}
 }
 
@@ -90,12 +91,13 @@
 		handle: in.Call, id: in.ID, attempt: max(in.Attempt, 1), route: in.Route, key: in.Key,
 		keyRetention: in.KeyRetention, pool: in.Pool, priority: min(max(in.Priority, 0), tables.Priorities-1),
 		idempotent: in.Idempotent, limits: in.Limits, requestID: in.RequestID, bytes: in.BodyBytes, deadline: s.now + in.TimeLeft, due: dueAt(s.now, in.DueIn),
-		arrivedAt: s.now, streaming: in.Streaming && in.Idempotent, workspace: in.Workspace,
+		arrivedAt: s.now, streaming: in.Streaming && in.Idempotent, workspace: in.Workspace, nested: in.Nested,
 	}
 	if in.TargetIncarnation != s.cfg.Incarnation {
 		s.answerCall(call, OutcomeNotRun, ReasonWrongIncarnation)
 		return
 	}
+	s.learnOrigin(in)
 	s.admitTargetCall(call)
 }
 
@@ -120,6 +122,7 @@
 		s.answerCall(call, OutcomeNotRun, ReasonKeyMoved)
 		return
 	}
+	s.prepareNested(call)
 	if reason := s.refusalReason(call); reason != ReasonNone {
 		s.answerCall(call, OutcomeNotRun, reason)
 		return
@@ -155,6 +158,7 @@
 	call.startedAt = s.now
 	s.target.queuedBytes -= call.bytes
 	s.target.running++
+	s.nested.callers.Started(s.now, call.route)
 	s.emit(CallQueued{Call: call.handle, Priority: call.priority, Wait: s.now - call.queuedAt})
 	left := call.deadline - s.now
 	timeout := left
@@ -217,6 +221,7 @@
 // towards those: a backend server that fails fast must not look fast.
 func (s *State) accountForExecution(call *targetCall, in BackendRequestDone) {
 	pool, _ := s.config.active.PoolOfService(s.backend.service)
+	s.nested.callers.Ended(s.now, call.route)
 	q := &s.target.queue
 	q.advance(s.now, s.slots(), pool)
 	q.accountEnd(call, in, s.slots(), pool)
@@ -272,7 +277,7 @@
 	if !call.local {
 		s.emit(AnswerForward{
 			Call: call.handle, ID: call.id, Outcome: outcome, Reason: reason, Status: status,
-			ResponseOf: call.handle, Load: s.loadReport(), RetriesUsed: call.retriesUsed,
+			ResponseOf: call.handle, Load: s.reportFor(call), RetriesUsed: call.retriesUsed,
 			Took: max(s.now-call.arrivedAt, 1), // 0 would mean that it is not known
 		})
 		return
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/nested"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -113,6 +114,7 @@
 	ReasonResponseTooLarge // the response was cut because it needed too much memory
 	ReasonUnknownKey       // the route needs a key, and the request has none that a workspace holds
 	ReasonQuotaExceeded    // the workspace has used its quota
+	ReasonNestedFailing    // calls that the backend server would make for the request fail now
 	reasonCount
 )
 
@@ -121,7 +123,7 @@
 	"body_too_large", "body_incomplete", "too_deep", "leaving", "draining", "wrong_incarnation",
 	"fenced", "records_full", "shed", "backend_unreachable", "backend_failed", "peer_unreachable",
 	"caller_gone", "key_owner_lost", "key_moved", "forgotten", "other_backend",
-	"unsupported_route", "response_too_large", "unknown_key", "quota_exceeded",
+	"unsupported_route", "response_too_large", "unknown_key", "quota_exceeded", "nested_failing",
 }
 
 func (r Reason) String() string {
@@ -142,6 +144,14 @@
 	Slots                int
 	Running              int
 	Queued               int
+
+	// NestedWait and NestedServiceTime are the figures of Waits and ShortestServiceTimes for nested calls.
+	NestedWait        time.Duration
+	NestedServiceTime time.Duration
+	// RouteNested says whether the route of the answered call is nested when it is called from beside the ingress node.
+	RouteNested nested.Verdict
+	// Withheld is the percentage of new calls of the same route to refuse, because the calls that they would make fail.
+	Withheld int
 }
 
 // PeerRef identifies one incarnation of a node and the address at which it is reached.
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/nested"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
 
@@ -43,6 +44,11 @@
 	Wait      []uint32 // expected time in the queue by priority
 	LateWait  []uint32 // the same for late calls, which are not expected to end by their due time
 	LeastTime []uint32 // shortest service time by priority
+
+	NestedWait  uint32 // as Wait, for nested calls
+	NestedTime  uint32 // as LeastTime, for nested calls
+	RouteNested uint8  // whether the route of the call is nested: 0 not known, 1 yes, 2 no
+	Withheld    int    // percentage of new calls of the route to refuse
 }
 
 // loadTimeUnit is the unit of the times in a Load.
@@ -52,6 +58,7 @@
 	return Load{
 		Service: wireLoadTime(l.ServiceTime), Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 		Wait: wireLoadTimes(l.Waits[:]), LateWait: wireLoadTimes(l.LateWaits[:]), LeastTime: wireLoadTimes(l.ShortestServiceTimes[:]),
+		NestedWait: wireLoadTime(l.NestedWait), NestedTime: wireLoadTime(l.NestedServiceTime), RouteNested: uint8(l.RouteNested), Withheld: l.Withheld,
 	}
 }
 
@@ -84,6 +91,8 @@
 func (l Load) toLoadReport() reducer.LoadReport {
 	out := reducer.LoadReport{
 		ServiceTime: time.Duration(l.Service) * loadTimeUnit, Slots: l.Slots, Running: l.Running, Queued: l.Queued,
+		NestedWait: time.Duration(l.NestedWait) * loadTimeUnit, NestedServiceTime: time.Duration(l.NestedTime) * loadTimeUnit,
+		RouteNested: nested.Verdict(l.RouteNested), Withheld: l.Withheld,
 	}
 	setLoadTimes(out.Waits[:], l.Wait)
 	setLoadTimes(out.LateWaits[:], l.LateWait)
@@ -109,6 +118,7 @@
 	DueIn             int64  // ns until the due time; negative when it has passed, 0 when there is none
 	Streaming         bool   // the sender takes a long response in parts
 	Workspace         string // whose key the caller sent; empty for none
+	Nested            bool   // a backend server made the call for a request that it runs
 
 	Method string
 	URI    string
@@ -188,7 +198,7 @@
 		ID: wireCallID(f.ID), Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority,
 		Idempotent: f.Idempotent, Key: f.Key, KeyRetention: int64(f.KeyRetention), TimeLeft: int64(f.TimeLeft),
 		TargetIncarnation: uint64(f.To.Incarnation), Depth: f.Limits.Depth, RetriesLeft: f.Limits.RetriesLeft,
-		RequestID: f.RequestID, DueIn: int64(f.DueIn), Streaming: f.Streaming, Workspace: f.Workspace,
+		RequestID: f.RequestID, DueIn: int64(f.DueIn), Streaming: f.Streaming, Workspace: f.Workspace, Nested: f.Nested,
 		Method: request.Method, URI: request.URI, Host: request.Host, Header: request.Header, Body: request.Body,
 	}
 }
@@ -198,7 +208,7 @@
 		Call: call, ID: a.ID.toCallID(), Attempt: a.Attempt, Route: a.Route, Pool: a.Pool, Priority: a.Priority,
 		Idempotent: a.Idempotent, Key: a.Key, KeyRetention: time.Duration(a.KeyRetention),
 		TimeLeft: time.Duration(a.TimeLeft), TargetIncarnation: reducer.Incarnation(a.TargetIncarnation),
-		RequestID: a.RequestID, DueIn: time.Duration(a.DueIn), Streaming: a.Streaming, Workspace: a.Workspace, BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
+		RequestID: a.RequestID, DueIn: time.Duration(a.DueIn), Streaming: a.Streaming, Workspace: a.Workspace, Nested: a.Nested, BodyBytes: int64(len(a.Body)), Limits: reducer.CallLimits{Depth: a.Depth, RetriesLeft: a.RetriesLeft},
 	}
 }
 
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -17,6 +17,7 @@
 	familyCalls        = "rosemaryhatch_calls_total"
 	familyAttempts     = "rosemaryhatch_call_attempts_total"
 	familyRetries      = "rosemaryhatch_call_retries_total"
+	familyNested       = "rosemaryhatch_nested_calls_total"
 	familyQueueWait    = "rosemaryhatch_queue_seconds"
 	familyLatency      = "rosemaryhatch_call_seconds"
 	familyRefusals     = "rosemaryhatch_refusals_total"
@@ -111,6 +112,9 @@
 	m.latency[e.Priority%tables.Priorities].observe(e.Elapsed)
 	m.attempts.Inc(int64(e.Attempts))
 	m.retries.Inc(int64(max(e.Attempts-1, 0)))
+	if e.Nested {
+		metrics.GetOrRegisterCounter(fmt.Sprintf("%s{outcome=%q}", familyNested, e.Outcome), m.registry).Inc(1)
+	}
 }
 
 // callCounter returns the counter for the priority, outcome and reason of a call. Counters are cached by index, because
