reducer, runner/peer: admission of downloads by the link of the instance

A service whose instances have links of 10 Mbit/s ran every download that was asked for. The responses shared the link until their times were over: the work was done and nobody got it, and lookups on the same link failed.

The target refuses a call on a streaming route, not run, if its response cannot leave in its time, and checks again before it starts. Load reports carry the backlog: ingress nodes choose upstreams with short backlogs and refuse at once when all are too long, with Retry-After by the backlog. Chunks on the link go by the deadline of their calls, or a large response would take as long as all that follow it. Nothing acts without [instance] link_mbps.

--- a/node/node.go
+++ b/node/node.go
@@ -106,7 +106,7 @@
 	return reducer.Config{
 		Self: reducer.NodeID(s.Node.ID), Zone: s.Node.Zone, Address: s.Listen.PeerAddress(), Operator: s.Listen.Operator,
 		Incarnation: incarnation, Seeds: s.Peers.Seeds, Discover: true, Limits: limits,
-		Tunables: tunables(s),
+		Tunables: tunables(s), LinkMbps: s.Instance.LinkMbps,
 	}
 }
 
--- a/reducer/admission.go
+++ b/reducer/admission.go
@@ -29,6 +29,8 @@
 		return ReasonRecordsFull
 	case s.cannotMeetDeadline(call, pool):
 		return ReasonDeadline
+	case s.linkRefuses(call):
+		return ReasonDeadline
 	case !s.makeRoom(call, pool):
 		return ReasonQueueFull
 	}
@@ -168,7 +170,7 @@
 		if s.requeueIfLate(call) {
 			continue
 		}
-		if s.isTooLateToStart(call) {
+		if s.isTooLateToStart(call) || s.linkTooSlow(call) {
 			s.refuseDequeued(call, ReasonDeadline)
 			continue
 		}
@@ -204,6 +206,7 @@
 	q := &s.target.queue
 	report := LoadReport{
 		ServiceTime: q.serviceTime(), Slots: s.slots(), Running: s.target.running, Queued: q.len(),
+		LinkBacklog: s.links.out.Backlog(s.now),
 	}
 	q.advance(s.now, report.Slots, pool)
 	for priority := range report.Waits {
--- a/reducer/choose.go
+++ b/reducer/choose.go
@@ -22,7 +22,8 @@
 	reportedAt      time.Duration
 	hasReport       bool
 	inFlight        int
-	sentSinceReport int // attempts sent since the last report
+	sentSinceReport int   // attempts sent since the last report
+	linkBytesSent   int64 // expected bytes of their responses on streaming routes
 	outlier         outlierState
 	incarnation     Incarnation
 	servingSince    time.Duration
@@ -108,6 +109,7 @@
 	if len(usable) == 0 {
 		return Member{}, ReasonNoUpstream
 	}
+	usable = s.preferShortLinks(usable, call)
 	return s.pickLowestCost(usable, call.route.Priority, pool.Ramp).Member, ReasonNone
 }
 
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -94,6 +94,7 @@
 	Took    time.Duration // time that the call spent at the target; 0 when the target did not report it
 	// RetriesUsed is the number of retries of calls that were made on behalf of this one.
 	RetriesUsed int
+	Bytes       int64 // of the response body
 }
 
 // ProbeDone reports that the connection of a forwarded attempt answered a Probe. When it does not answer,
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -106,7 +106,7 @@
 		return
 	}
 	call := s.newIngressCall(in, route, workspace)
-	if call.key == "" && s.shouldRefuseEarly(call) {
+	if call.key == "" && (s.shouldRefuseEarly(call) || s.linkRefusesEarly(call)) {
 		s.failCall(call, OutcomeNotRun, ReasonDeadline)
 		return
 	}
@@ -292,7 +292,8 @@
 	call.limits.RetriesLeft = s.retriesLeft(call)
 	call.sentAt = s.now
 	if call.route.Idempotent {
-		call.expectedDuration = s.estimateDuration(&servingUpstream{Member: target, load: s.loadOf(target.Node)}, call.route.Priority)
+		at := &servingUpstream{Member: target, load: s.loadOf(target.Node)}
+		call.expectedDuration = max(s.estimateDuration(at, call.route.Priority), s.linkTime(at, call))
 	}
 	if target.Node == s.cfg.Self {
 		s.setPhase(call, ingressLocal)
@@ -497,6 +498,7 @@
 		load := s.loadOf(call.target.Node)
 		load.inFlight++
 		load.sentSinceReport++
+		s.noteLinkSent(call, load)
 	}
 	call.phase = phase
 }
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -137,7 +137,7 @@
 // deadline.
 func (s *State) filterFittingUpstreams(upstreams []*servingUpstream, call *ingressCall) []*servingUpstream {
 	return slices.DeleteFunc(upstreams, func(u *servingUpstream) bool {
-		return s.estimateDuration(u, call.route.Priority) > call.effectiveDeadline(s.now)-s.now
+		return s.estimateDuration(u, call.route.Priority) > call.effectiveDeadline(s.now)-s.now || s.linkTime(u, call) > call.deadline-s.now
 	})
 }
 
--- a/reducer/retry_after.go
+++ b/reducer/retry_after.go
@@ -43,7 +43,7 @@
 	pool, _ := s.config.active.Pool(call.route.Pool)
 	shortest := maxWait
 	for _, u := range s.usableUpstreams(pool.Service, nil) {
-		shortest = min(shortest, s.estimateDuration(u, call.route.Priority))
+		shortest = min(shortest, max(s.estimateDuration(u, call.route.Priority), s.linkTime(u, call)))
 	}
 	return shortest
 }
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -42,6 +42,7 @@
 	Seeds       []string // peer addresses of nodes to join through
 	Discover    bool     // find other nodes through the platform's store
 	Limits      Limits
+	LinkMbps    float64 // rate of the instance's network link in each direction; 0 if it is not known
 	Tunables
 	// Tables is the version that the node starts with, for a program that embeds the state and distributes the tables
 	// itself; nil for a node that receives them from the store or from peers.
@@ -78,6 +79,7 @@
 	backend  backendState
 	ingress  ingressState
 	target   targetState
+	links    linkState
 	owners   ownerState
 	shutdown shutdownState
 	platform platformState
@@ -92,6 +94,7 @@
 	}
 	s := &State{cfg: cfg, timers: newTimers()}
 	s.config.active = cfg.Tables
+	s.links = newLinkState(cfg.LinkMbps)
 	s.members.init(cfg)
 	s.ingress.init()
 	s.target.init()
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -22,8 +22,9 @@
 	Members        []Member
 	Backend        Upstream
 	Load           LoadReport
-	Calls          int // calls that entered at this node and have no response yet
-	Records        int // execution records
+	Calls          int    // calls that entered at this node and have no response yet
+	Records        int    // execution records
+	LinkRefusals   uint64 // calls that were refused because of the link
 }
 
 func (s *State) status() Status {
@@ -37,5 +38,6 @@
 		Members:        append([]Member(nil), s.members.sorted()...),
 		Backend:        s.members.table[s.cfg.Self].Upstream,
 		Load:           s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
+		LinkRefusals: s.links.refused,
 	}
 }
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -145,6 +145,7 @@
 	s.target.byID[call.id] = call
 	s.target.queuedBytes += call.bytes
 	s.target.queue.push(call)
+	s.promiseLink(call)
 	s.timers.set(timerKey{kind: timerTargetDeadline, call: call.handle}, call.deadline)
 }
 
@@ -153,6 +154,7 @@
 func (s *State) startOnBackend(call *targetCall) {
 	call.phase = targetRunning
 	call.startedAt = s.now
+	s.links.out.Start(uint64(call.handle))
 	s.target.queuedBytes -= call.bytes
 	s.target.running++
 	s.emit(CallQueued{Call: call.handle, Priority: call.priority, Wait: s.now - call.queuedAt})
@@ -173,6 +175,7 @@
 		return
 	}
 	s.target.responses.release(call.handle)
+	s.settleLink(call, in)
 	if in.Streaming {
 		s.beginStream(call, in)
 		return
@@ -316,6 +319,7 @@
 func (s *State) removeTargetCall(call *targetCall) {
 	delete(s.target.calls, call.handle)
 	delete(s.target.byID, call.id)
+	s.links.out.Release(uint64(call.handle))
 	s.timers.cancel(timerKey{kind: timerTargetDeadline, call: call.handle})
 }
 
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -142,6 +142,7 @@
 	Slots                int
 	Running              int
 	Queued               int
+	LinkBacklog          time.Duration // how long the link of the instance takes for what it has to send; 0 if it is not known
 }
 
 // PeerRef identifies one incarnation of a node and the address at which it is reached.
--- a/runner/link/pacer.go
+++ b/runner/link/pacer.go
@@ -7,8 +7,6 @@
 	"io"
 	"sync/atomic"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -25,11 +23,15 @@
 	// smallInFlight is how long after a small message others are expected. Calls of a backend server during a request are
 	// some 100 ms apart.
 	smallInFlight = 250 * time.Millisecond
+	// defaultDeadline is when a body without a deadline is due. It is a usual time of a call.
+	defaultDeadline = time.Second
+	// maxCredit is how much of a pause that lasted too long is made up for: timers fire some ms late on a busy instance.
+	maxCredit = 10 * time.Millisecond
 )
 
 // Pacer paces large bodies in both directions of a link. A nil Pacer does nothing. It is safe for concurrent use.
 type Pacer struct {
-	out, in        *rate.Limiter
+	out, in        direction
 	bytesPerSecond float64
 	lastSmall      atomic.Int64 // ns since start of the last small message
 	start          time.Time
@@ -42,11 +44,9 @@
 	if mbps <= 0 {
 		return nil
 	}
-	bytes := mbps * 1e6 / 8
-	p := &Pacer{bytesPerSecond: bytes, start: time.Now()}
+	p := &Pacer{bytesPerSecond: mbps * 1e6 / 8, start: time.Now()}
 	p.lastSmall.Store(-int64(smallInFlight))
-	p.out = rate.NewLimiter(rate.Limit(bytes*alonePercent/100), ChunkBytes)
-	p.in = rate.NewLimiter(rate.Limit(bytes*alonePercent/100), ChunkBytes)
+	p.out.rate, p.in.rate = p.rate, p.rate
 	return p
 }
 
@@ -57,22 +57,22 @@
 	}
 }
 
-// limit returns the rate of large bodies at this moment.
-func (p *Pacer) limit() rate.Limit {
+// rate returns the rate of large bodies at this moment in bytes a second.
+func (p *Pacer) rate() float64 {
 	if time.Since(p.start)-time.Duration(p.lastSmall.Load()) < smallInFlight {
-		return rate.Limit(p.bytesPerSecond * sharedPercent / 100)
+		return p.bytesPerSecond * sharedPercent / 100
 	}
-	return rate.Limit(p.bytesPerSecond * alonePercent / 100)
+	return p.bytesPerSecond * alonePercent / 100
 }
 
-// WaitOut waits until n bytes of a large body, at most ChunkBytes, may be sent. Those who wait take turns. The error is that
-// of the context.
+// WaitOut waits until n bytes of a large body, at most ChunkBytes, may be sent. The one whose context ends first goes first.
+// The error is that of the context.
 func (p *Pacer) WaitOut(ctx context.Context, n int) error {
 	if p == nil {
 		return nil
 	}
 	began := time.Now()
-	err := p.wait(ctx, p.out, n)
+	err := p.out.wait(ctx, n)
 	p.waits.Add(int64(time.Since(began)))
 	if err == nil {
 		p.paced.Add(int64(n))
@@ -85,14 +85,7 @@
 	if p == nil {
 		return nil
 	}
-	return p.wait(ctx, p.in, n)
-}
-
-func (p *Pacer) wait(ctx context.Context, limiter *rate.Limiter, n int) error {
-	if limit := p.limit(); limiter.Limit() != limit {
-		limiter.SetLimit(limit)
-	}
-	return limiter.WaitN(ctx, min(n, ChunkBytes))
+	return p.in.wait(ctx, n)
 }
 
 // Write writes a body to w, in paced chunks if it is large.
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -106,6 +106,7 @@
 	done.Load, done.RetriesUsed = answer.Load.toLoadReport(), answer.RetriesUsed
 	done.Took = time.Duration(answer.Took)
 	response := answer.toResponse()
+	done.Bytes = max(int64(len(answer.Body)), answer.Length)
 	if response == nil || !answer.HasRest {
 		return done, response
 	}
--- a/runner/peer/upload.go
+++ b/runner/peer/upload.go
@@ -167,6 +167,8 @@
 // sendBody sends the body of a call ahead of it, in paced parts, once the target has accepted it. The call has not been
 // sent then: an error, or a refusal in the answer, means that it does not run.
 func (c *Client) sendBody(ctx context.Context, key connKey, f reducer.Forward, body []byte) (UploadAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.TimeLeft)
+	defer cancel()
 	var answer UploadAnswer
 	id := wireCallID(f.ID)
 	begin := &UploadArgs{
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -213,6 +213,7 @@
 		gauge := m.gauge("%s{state=%q}", familyMembers, member.State)
 		gauge.Update(gauge.Value() + 1)
 	}
+	m.updateLink(status)
 	m.gauge(familyInvalid).Update(int64(len(status.InvalidEntries)))
 	m.gauge(familyUnsupported).Update(int64(len(status.Unsupported)))
 	m.gauge("%s{kind=%q}", familyRejected, "older").Update(int64(status.Refusals.Older))
