reducer, runner/peer, runner/backend: acceptance of uploads before their bodies are sent

An upload travelled with its call, so that a target that refused it had cost its transfer, and a node took more bodies than its link carries in their time. A backend server that answered 200 before it had the whole body made a complete success.

The reducer at the target accepts or refuses a body above 16 KiB before it is sent (UploadOffered, AnswerUpload): it refuses what it would refuse later, and what the receiving link cannot carry in time. Load reports carry the backlog of the receiving link, by which ingress nodes choose. They refuse bodies of callers that cannot arrive in time before they read them. The call is sent after its body, so that nothing can run before that. A status below 400 for a body that was not sent as a whole is now unknown, backend_failed.

--- a/internal/faultmatrix/scenarios.go
+++ b/internal/faultmatrix/scenarios.go
@@ -40,6 +40,7 @@
 		{Name: "idempotent call", Begin: func(w *pump.World) { sendRequest(w, Ingress, "r1", "/lookup", "", true) }, Length: 60 * time.Millisecond},
 		{Name: "non-idempotent call", Begin: func(w *pump.World) { sendRequest(w, Ingress, "r1", "/dues", "", false) }, Length: 60 * time.Millisecond},
 		{Name: "download", Begin: func(w *pump.World) { sendRequest(w, Ingress, "r1", "/download", "", true) }, Length: 80 * time.Millisecond},
+		{Name: "upload", Begin: func(w *pump.World) { sendUpload(w, "r1") }, Length: 80 * time.Millisecond},
 		{Name: "pipelined calls on one connection", Begin: func(w *pump.World) {
 			sendRequest(w, Ingress, "r1", "/dues", "", false)
 			sendPipelined(w, Ingress, "r2", "/lookup", true)
@@ -183,6 +184,11 @@
 // flood sends many more calls than the backend servers can run before the deadline of the calls.
 func flood(w *pump.World, path string) { sendFlood(w, path, 120) }
 
+// sendUpload sends a call whose body is sent to the target ahead of it.
+func sendUpload(w *pump.World, id string) {
+	w.Request(w.Node(Ingress), invariant.Request{ID: id}, reducer.CallArrived{Host: "callers", Method: "POST", Path: "/dues", BodyBytes: 100_000})
+}
+
 func sendFlood(w *pump.World, path string, calls int) {
 	for range calls {
 		sendRequest(w, Ingress, fmt.Sprintf("flood%s-%d", path, len(w.History.Requests)), path, "", true)
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -22,7 +22,11 @@
 func (n *Node) perform(effect reducer.Effect) {
 	switch e := effect.(type) {
 	case reducer.ReadBody:
-		n.post(time.Millisecond, reducer.BodyRead{Call: e.Call, Result: reducer.BodyComplete})
+		read := reducer.BodyRead{Call: e.Call, Result: reducer.BodyComplete}
+		if g := n.traffic[e.Call]; g != nil && g.caller != nil {
+			read.Bytes = g.caller.arrived.BodyBytes
+		}
+		n.post(time.Millisecond, read)
 	case reducer.FailCall:
 		n.answerCaller(e.Call, invariant.Answer{Outcome: e.Outcome, Reason: e.Reason})
 	case reducer.PostponeCall:
@@ -30,7 +34,13 @@
 	case reducer.Deliver:
 		n.deliver(e)
 	case reducer.Forward:
-		n.forward(e)
+		if e.BodyAhead {
+			n.offerUpload(e)
+		} else {
+			n.forward(e)
+		}
+	case reducer.AnswerUpload:
+		n.answerUpload(e)
 	case reducer.Probe:
 		n.probe(e)
 	case reducer.Settle:
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -25,7 +25,10 @@
 	StreamTime           = 20 * time.Millisecond // from the first part of a streaming response to its end
 	PostponeDelay        = 20 * time.Millisecond // until a postponed call arrives again
 	ServiceTime          = 20 * time.Millisecond
+	UploadTime           = 20 * time.Millisecond // from the acceptance of a body to its end
 	RegistrationInterval = time.Second
+	uploadBytes          = 100_000     // length of a body that is sent ahead of its call
+	linkMbps             = 10          // link of each instance in each direction
 	callTimeout          = time.Second // timeout of the runners for messages without an answer
 	defaultSlots         = 6
 	defaultConns         = 110
@@ -104,6 +107,7 @@
 	onSettled  func(answer reducer.AnswerSettle, response invariant.Request)
 	onAccepted func(bool)
 	onGrowth   func(allowed bool)
+	onUpload   func(answer reducer.AnswerUpload)
 
 	onAcknowledged func()
 	responses      map[int]invariant.Request // by attempt
@@ -196,7 +200,7 @@
 	}
 	n.State = reducer.New(reducer.Config{
 		Self: n.ID, Zone: n.Zone, Address: address(n.ID), Operator: address(n.ID), Incarnation: n.incarnation,
-		Seeds: seeds, Discover: true, Limits: reducer.DefaultLimits(), Tunables: tunables(),
+		Seeds: seeds, Discover: true, Limits: reducer.DefaultLimits(), Tunables: tunables(), LinkMbps: linkMbps,
 	})
 	n.post(0, reducer.TimerDue{})
 	n.scheduleRegistration(0)
--- a/reducer/admission.go
+++ b/reducer/admission.go
@@ -206,7 +206,7 @@
 	q := &s.target.queue
 	report := LoadReport{
 		ServiceTime: q.serviceTime(), Slots: s.slots(), Running: s.target.running, Queued: q.len(),
-		LinkBacklog: s.links.out.Backlog(s.now),
+		LinkBacklog: s.links.out.Backlog(s.now), LinkInBacklog: s.links.in.Backlog(s.now),
 	}
 	q.advance(s.now, report.Slots, pool)
 	for priority := range report.Waits {
--- a/reducer/bandwidth/link.go
+++ b/reducer/bandwidth/link.go
@@ -143,6 +143,11 @@
 	return bytes == 0 || l.fits(route, bytes, max(l.Backlog(now), after), left)
 }
 
+// Carries reports whether the link carries a body of a known length within left, behind all that is promised.
+func (l *Link) Carries(bytes int64, left, now time.Duration) bool {
+	return !l.Enabled() || l.Backlog(now)+l.Time(bytes) <= left
+}
+
 // fits reports whether a body can leave within left after a wait. The margin takes at most half of the time beyond the body's
 // own, so that a route with widely varying lengths is served.
 func (l *Link) fits(route string, bytes int64, wait, left time.Duration) bool {
--- a/reducer/choose.go
+++ b/reducer/choose.go
@@ -24,6 +24,7 @@
 	inFlight        int
 	sentSinceReport int   // attempts sent since the last report
 	linkBytesSent   int64 // expected bytes of their responses on streaming routes
+	uploadBytesSent int64 // bytes of their large bodies
 	outlier         outlierState
 	incarnation     Incarnation
 	servingSince    time.Duration
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -63,6 +63,7 @@
 	RequestID    string
 	Streaming    bool // the response may be passed on while it is received
 	Workspace    string
+	BodyAhead    bool // the body is offered to the target and sent before the call
 }
 
 // Probe checks whether the connection of a forwarded attempt answers within Timeout. A connection that does
--- a/reducer/eject.go
+++ b/reducer/eject.go
@@ -107,7 +107,7 @@
 	load := s.loadOf(call.target.Node)
 	if in.Result == ForwardAnswered {
 		load.report, load.reportedAt, load.hasReport = in.Load, s.now, true
-		load.sentSinceReport, load.linkBytesSent = 0, 0
+		load.sentSinceReport, load.linkBytesSent, load.uploadBytesSent = 0, 0, 0
 		s.observeLinkUse(call, in)
 		s.observeDistance(call, in.Took)
 	}
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -106,7 +106,7 @@
 		return
 	}
 	call := s.newIngressCall(in, route, workspace)
-	if call.key == "" && (s.shouldRefuseEarly(call) || s.linkRefusesEarly(call)) {
+	if call.key == "" && (s.shouldRefuseEarly(call) || s.linkRefusesEarly(call)) || s.receiveLinkRefuses(call) {
 		s.failCall(call, OutcomeNotRun, ReasonDeadline)
 		return
 	}
@@ -309,7 +309,7 @@
 		Route: call.route.Name, Pool: call.route.Pool, Priority: call.route.Priority,
 		Idempotent: call.route.Idempotent, Key: call.key, KeyRetention: call.route.KeyRetention,
 		TimeLeft: left, DueIn: s.timeUntilDue(call), Limits: call.limits, RequestID: call.requestID,
-		Streaming: call.route.Streaming, Workspace: call.workspace,
+		Streaming: call.route.Streaming, Workspace: call.workspace, BodyAhead: s.sendsBodyAhead(call.reservedBytes),
 	})
 	s.timers.set(timerKey{kind: timerIngressCheck, call: call.handle}, s.nextCheckTime(call))
 }
--- a/reducer/links.go
+++ b/reducer/links.go
@@ -78,25 +78,37 @@
 	}
 }
 
-// linkTime returns how long the response to a call is expected to take over the link of an upstream, 0 if that is not known.
+// linkTime returns how long the body of a call, or its response, is expected to take over the links, 0 if that is not known.
 // Instances are assumed to have links of one rate.
 func (s *State) linkTime(u *servingUpstream, call *ingressCall) time.Duration {
-	if !s.links.out.Enabled() || !call.route.Streaming || u.Node == s.cfg.Self && call.limits.Depth > 1 {
+	switch {
+	case s.sendsBodyAhead(call.reservedBytes):
+		return s.uploadTime(u, call)
+	case !s.links.out.Enabled() || !call.route.Streaming || u.Node == s.cfg.Self && call.limits.Depth > 1:
+		return 0
+	case u.Node != s.cfg.Self && !u.load.hasFreshReport(s.now, reportMaxAge):
 		return 0
 	}
-	own := s.links.out.Time(s.links.out.Expected(call.route.Name, s.now))
-	if u.Node == s.cfg.Self {
-		return s.links.out.Backlog(s.now) + own
-	}
-	if !u.load.hasFreshReport(s.now, reportMaxAge) {
+	return s.downloadBacklog(u) + s.links.out.Time(s.links.out.Expected(call.route.Name, s.now))
+}
+
+// downloadBacklog returns the backlog of the sending link of an upstream, 0 if it is not known.
+func (s *State) downloadBacklog(u *servingUpstream) time.Duration {
+	switch {
+	case u.Node == s.cfg.Self:
+		return s.links.out.Backlog(s.now)
+	case !u.load.hasFreshReport(s.now, reportMaxAge):
 		return 0
 	}
-	backlog := max(u.load.report.LinkBacklog-(s.now-u.load.reportedAt), 0)
-	return backlog + s.links.out.Time(u.load.linkBytesSent) + own
+	return max(u.load.report.LinkBacklog-(s.now-u.load.reportedAt), 0) + s.links.out.Time(u.load.linkBytesSent)
 }
 
-// noteLinkSent counts the response to a call that is sent to an upstream until its next report.
+// noteLinkSent counts the body of a call that is sent to an upstream, and its response until the next report.
 func (s *State) noteLinkSent(call *ingressCall, load *upstreamLoad) {
+	if s.sendsBodyAhead(call.reservedBytes) {
+		s.links.out.Leave(call.reservedBytes, s.now)
+		load.uploadBytesSent += call.reservedBytes
+	}
 	if call.route.Streaming {
 		load.linkBytesSent += s.links.out.Expected(call.route.Name, s.now)
 	}
@@ -118,21 +130,25 @@
 // preferShortLinks removes, in place, the upstreams whose links have a longer backlog than the shortest by more than
 // linkSpread.
 func (s *State) preferShortLinks(upstreams []*servingUpstream, call *ingressCall) []*servingUpstream {
-	if !s.links.out.Enabled() || !call.route.Streaming || len(upstreams) == 0 {
+	backlog := s.downloadBacklog
+	switch {
+	case s.sendsBodyAhead(call.reservedBytes):
+		backlog = s.uploadBacklog
+	case !s.links.out.Enabled() || !call.route.Streaming:
 		return upstreams
 	}
 	shortest := maxWait
 	for _, u := range upstreams {
-		shortest = min(shortest, s.linkTime(u, call))
+		shortest = min(shortest, backlog(u))
 	}
-	return slices.DeleteFunc(upstreams, func(u *servingUpstream) bool { return s.linkTime(u, call) > shortest+linkSpread })
+	return slices.DeleteFunc(upstreams, func(u *servingUpstream) bool { return backlog(u) > shortest+linkSpread })
 }
 
-// linkRefusesEarly reports whether fresh load reports of all usable upstreams say that their links cannot carry the response
-// to a new call in time. One in earlyRefusalsPerProbe such calls is let through.
+// linkRefusesEarly reports whether fresh load reports of all usable upstreams say that their links cannot carry the body of a
+// new call, or its response, in time. One in earlyRefusalsPerProbe such calls is let through.
 func (s *State) linkRefusesEarly(call *ingressCall) bool {
 	pool, ok := s.config.active.Pool(call.route.Pool)
-	if !ok || !s.links.out.Enabled() || !call.route.Streaming {
+	if !ok || !s.links.out.Enabled() || !call.route.Streaming && !s.sendsBodyAhead(call.reservedBytes) {
 		return false
 	}
 	usable := s.usableUpstreams(pool.Service, nil)
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -141,6 +141,8 @@
 		s.handleSettleDone(in)
 	case ForwardArrived:
 		s.handleForwardArrived(in)
+	case UploadOffered:
+		s.handleUploadOffered(in)
 	case ForwarderGone:
 		s.handleForwarderGone(in)
 	case SettleArrived:
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -143,6 +143,7 @@
 	Running              int
 	Queued               int
 	LinkBacklog          time.Duration // how long the link of the instance takes for what it has to send; 0 if it is not known
+	LinkInBacklog        time.Duration // the same for the bodies that it has to receive
 }
 
 // PeerRef identifies one incarnation of a node and the address at which it is reached.
--- a/runner/backend/client.go
+++ b/runner/backend/client.go
@@ -366,15 +366,7 @@
 		bodyWritten <- err
 	}()
 	in, err := c.readResponse(ctx, h, front, false)
-	select {
-	case writeErr := <-bodyWritten:
-		in.reuse = in.reuse && writeErr == nil
-	default: // close, so that the rest of the body cannot be read as another request
-		c.Close()
-		<-bodyWritten
-		in.reuse = false
-	}
-	return in, err
+	return c.endOfBody(in, err, bodyWritten)
 }
 
 // readResponse skips responses until it has read the one that answers the request.
--- a/runner/link/pacer.go
+++ b/runner/link/pacer.go
@@ -7,6 +7,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 )
 
 const (
@@ -14,7 +16,7 @@
 	// may wait 20 ms.
 	ChunkBytes = 16 << 10
 	// LargeBytes is the longest body that is not paced.
-	LargeBytes = ChunkBytes
+	LargeBytes = reducer.LargeBodyBytes
 	// sharedPercent is the part of the link that large bodies get while small messages are in flight. The rest is enough
 	// for the small messages and for the headers of packets.
 	sharedPercent = 85
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -86,11 +86,11 @@
 	}
 	var answer Answer
 	key := connKey{f.To.Address, c.classFor(args, request)}
-	if c.isLarge(request) {
+	if f.BodyAhead {
 		if refused := c.sendAhead(ctx, key, f, args); refused != nil {
 			return *refused, nil
 		}
-	} else if !f.Streaming {
+	} else if !f.Streaming && !c.isLarge(request) {
 		c.pacer.NoteSmall()
 	}
 	args.Parts = c.pacer != nil
@@ -98,6 +98,8 @@
 	if err != nil {
 		if args.maybeSent.Load() {
 			done.Result = reducer.ForwardLost
+		} else if args.Uploaded {
+			c.endUpload(f)
 		}
 		return done, nil
 	}
--- a/runner/peer/pacing_test.go
+++ b/runner/peer/pacing_test.go
@@ -138,7 +138,7 @@
 	var ended atomic.Int64
 	end := time.Now().Add(3 * time.Second)
 	call := func(request *traffic.Request, streaming bool) {
-		forward := reducer.Forward{To: f.to, ID: reducer.CallID{Seq: seq.Add(1)}, Attempt: 1, Streaming: streaming, TimeLeft: time.Minute}
+		forward := reducer.Forward{To: f.to, ID: reducer.CallID{Seq: seq.Add(1)}, Attempt: 1, Streaming: streaming, TimeLeft: time.Minute, BodyAhead: f.client.isLarge(request)}
 		done, response := f.client.Forward(context.Background(), forward, request)
 		want := []byte("ok")
 		if request.URI == "/long" {
@@ -202,7 +202,7 @@
 	if !f.server.uploads.begin(key, maxUploadBytes, time.Minute) {
 		t.Fatal("the first body is refused")
 	}
-	forward := reducer.Forward{To: f.to, ID: reducer.CallID{Seq: 2}, Attempt: 1, TimeLeft: time.Minute}
+	forward := reducer.Forward{To: f.to, ID: reducer.CallID{Seq: 2}, Attempt: 1, TimeLeft: time.Minute, BodyAhead: true}
 	done, _ := f.client.Forward(context.Background(), forward, postRequest(100<<10))
 	if done.Outcome != reducer.OutcomeNotRun || done.Reason != reducer.ReasonQueueFull {
 		t.Errorf("a body beyond the memory of the target ended as %+v", done)
--- a/runner/peer/peer_test.go
+++ b/runner/peer/peer_test.go
@@ -49,6 +49,10 @@
 	return reducer.AnswerSettle{Outcome: reducer.OutcomeNotRun, Reason: reducer.ReasonFenced}, nil
 }
 
+func (*echoHandler) OfferUpload(func(reducer.Handle) reducer.UploadOffered) reducer.AnswerUpload {
+	return reducer.AnswerUpload{Accepted: true}
+}
+
 func (*echoHandler) HandOver(records []reducer.KeyRecord, responses []*traffic.Response) bool {
 	return len(records) == len(responses) && string(responses[0].Body) == records[0].Key
 }
--- a/runner/peer/server.go
+++ b/runner/peer/server.go
@@ -39,11 +39,13 @@
 	acceptRetryDelay = 50 * time.Millisecond
 )
 
-// Handler serves the requests of peers. Forward, Settle and HandOver block until the answer is known.
+// Handler serves the requests of peers. Its methods except Post block until the answer is known.
 type Handler interface {
 	// Forward serves a call. newInput returns the event for the call, given the handle that Forward chooses for it.
 	// disconnected is closed when the connection ends on which the call arrived.
 	Forward(newInput func(reducer.Handle) reducer.ForwardArrived, request *traffic.Request, disconnected <-chan struct{}) (reducer.AnswerForward, *traffic.Response)
+	// OfferUpload decides whether the body of a call is sent to this node. newInput is used as for Forward.
+	OfferUpload(newInput func(reducer.Handle) reducer.UploadOffered) reducer.AnswerUpload
 	// Settle returns the outcome of a call. newInput is used as for Forward.
 	Settle(newInput func(reducer.Handle) reducer.SettleArrived) (reducer.AnswerSettle, *traffic.Response)
 	// HandOver takes over records, whose responses have the same indices, and reports whether it accepted them.
@@ -299,7 +301,7 @@
 func (s *service) Forward(args *ForwardArgs, reply *Answer) error {
 	deadline := time.Now().Add(time.Duration(args.TimeLeft))
 	if !s.takeUpload(args) {
-		reply.Outcome, reply.Reason = uint8(reducer.OutcomeNotRun), uint8(reducer.ReasonBodyIncomplete)
+		reply.Outcome, reply.Reason = uint8(reducer.OutcomeNotRun), uint8(reducer.ReasonPeerUnreachable)
 		return nil
 	}
 	answer, response := s.handler.Forward(args.toInput, args.toRequest(), s.disconnected)
--- a/runner/peer/upload.go
+++ b/runner/peer/upload.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/link"
+	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
 // Bounds of request bodies that move between nodes in parts, ahead of their calls.
@@ -28,11 +29,19 @@
 	Route             string
 	Pool              string
 	Priority          int
+	Idempotent        bool
 	Length            int64
 	TimeLeft          int64 // ns
 	TargetIncarnation uint64
 }
 
+func (a *UploadArgs) toInput(exchange reducer.Handle) reducer.UploadOffered {
+	return reducer.UploadOffered{
+		Exchange: exchange, ID: a.ID.toCallID(), Attempt: a.Attempt, Route: a.Route, Pool: a.Pool, Priority: min(max(a.Priority, 0), tables.Priorities-1),
+		Idempotent: a.Idempotent, Bytes: a.Length, TimeLeft: time.Duration(a.TimeLeft), TargetIncarnation: reducer.Incarnation(a.TargetIncarnation),
+	}
+}
+
 // UploadAnswer says whether the target takes the body of a call. If it does not, the call has not run and will not.
 type UploadAnswer struct {
 	Accepted bool
@@ -130,12 +139,12 @@
 
 // BeginUpload replies whether this node takes the body of a call.
 func (s *service) BeginUpload(args *UploadArgs, reply *UploadAnswer) error {
+	answer := s.handler.OfferUpload(args.toInput)
+	reply.Accepted, reply.Reason, reply.Load = answer.Accepted, uint8(answer.Reason), wireLoad(answer.Load)
 	key := streamKey{args.ID.toCallID(), args.Attempt}
-	if !s.uploads.begin(key, args.Length, time.Duration(args.TimeLeft)) {
-		reply.Reason = uint8(reducer.ReasonQueueFull)
-		return nil
+	if reply.Accepted && !s.uploads.begin(key, args.Length, time.Duration(args.TimeLeft)) {
+		reply.Accepted, reply.Reason = false, uint8(reducer.ReasonQueueFull)
 	}
-	reply.Accepted = true
 	return nil
 }
 
@@ -172,7 +181,7 @@
 	var answer UploadAnswer
 	id := wireCallID(f.ID)
 	begin := &UploadArgs{
-		ID: id, Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority, Length: int64(len(body)),
+		ID: id, Attempt: f.Attempt, Route: f.Route, Pool: f.Pool, Priority: f.Priority, Idempotent: f.Idempotent, Length: int64(len(body)),
 		TimeLeft: int64(f.TimeLeft), TargetIncarnation: uint64(f.To.Incarnation),
 	}
 	err := c.invokeWithin(ctx, key, "Peer.BeginUpload", begin, &answer)
@@ -186,13 +195,18 @@
 	for offset := 0; offset < len(body); offset += link.ChunkBytes {
 		part := &UploadPart{ID: id, Attempt: f.Attempt, Offset: int64(offset), Data: body[offset:min(offset+link.ChunkBytes, len(body))]}
 		if err := c.sendPart(ctx, key, part); err != nil {
-			c.enqueue(outgoingMessage{f.To, "Peer.EndUpload", &CancelArgs{ID: id, Attempt: f.Attempt}})
+			c.endUpload(f)
 			return answer, err
 		}
 	}
 	return answer, nil
 }
 
+// endUpload tells the target that the call of a body does not come.
+func (c *Client) endUpload(f reducer.Forward) {
+	c.enqueue(outgoingMessage{f.To, "Peer.EndUpload", &CancelArgs{ID: wireCallID(f.ID), Attempt: f.Attempt}})
+}
+
 func (c *Client) sendPart(ctx context.Context, key connKey, part *UploadPart) error {
 	if err := c.pacer.WaitOut(ctx, len(part.Data)); err != nil {
 		return err
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -44,6 +44,7 @@
 	LateWait  []uint32 // the same for late calls, which are not expected to end by their due time
 	LeastTime []uint32 // shortest service time by priority
 	Link      uint32   // backlog of the instance's link; 0 if it is not known
+	LinkIn    uint32   // the same for bodies that it receives
 }
 
 // loadTimeUnit is the unit of the times in a Load.
@@ -53,7 +54,7 @@
 	return Load{
 		Service: wireLoadTime(l.ServiceTime), Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 		Wait: wireLoadTimes(l.Waits[:]), LateWait: wireLoadTimes(l.LateWaits[:]), LeastTime: wireLoadTimes(l.ShortestServiceTimes[:]),
-		Link: wireLoadTime(l.LinkBacklog),
+		Link: wireLoadTime(l.LinkBacklog), LinkIn: wireLoadTime(l.LinkInBacklog),
 	}
 }
 
@@ -86,7 +87,7 @@
 func (l Load) toLoadReport() reducer.LoadReport {
 	out := reducer.LoadReport{
 		ServiceTime: time.Duration(l.Service) * loadTimeUnit, Slots: l.Slots, Running: l.Running, Queued: l.Queued,
-		LinkBacklog: time.Duration(l.Link) * loadTimeUnit,
+		LinkBacklog: time.Duration(l.Link) * loadTimeUnit, LinkInBacklog: time.Duration(l.LinkIn) * loadTimeUnit,
 	}
 	setLoadTimes(out.Waits[:], l.Wait)
 	setLoadTimes(out.LateWaits[:], l.LateWait)
--- a/runner/target/target.go
+++ b/runner/target/target.go
@@ -87,6 +87,19 @@
 	}
 }
 
+// OfferUpload implements peer.Handler: it asks the reducer whether the body of a call is sent to this node.
+func (h *Handler) OfferUpload(newInput func(reducer.Handle) reducer.UploadOffered) reducer.AnswerUpload {
+	mailbox := h.Mailboxes.Open()
+	defer mailbox.Close()
+	h.Control.Post(newInput(mailbox.Handle))
+	select {
+	case effect := <-mailbox.Effects:
+		return effect.(reducer.AnswerUpload) // the only effect of this exchange
+	case <-h.Control.Done():
+		return reducer.AnswerUpload{Reason: reducer.ReasonLeaving}
+	}
+}
+
 // HandOver stores the responses of the records that a peer hands over, and reports whether the reducer accepted the
 // records. If it did not, the responses are dropped.
 func (h *Handler) HandOver(records []reducer.KeyRecord, responses []*traffic.Response) bool {
