--- a/reducer/choose.go
+++ b/reducer/choose.go
@@ -22,7 +22,9 @@
 	reportedAt      time.Duration
 	hasReport       bool
 	inFlight        int
-	sentSinceReport int // attempts sent since the last report
+	sentSinceReport int   // attempts sent since the last report
+	linkBytesSent   int64 // expected bytes of their responses on streaming routes
+	uploadBytesSent int64 // bytes of their large bodies
 	outlier         outlierState
 	incarnation     Incarnation
 	servingSince    time.Duration
@@ -108,6 +110,7 @@
 	if len(usable) == 0 {
 		return Member{}, ReasonNoUpstream
 	}
+	usable = s.preferShortLinks(usable, call)
 	return s.pickLowestCost(usable, call.loadClass(), pool.Ramp).Member, ReasonNone
 }
 
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -64,6 +64,7 @@
 	Streaming    bool // the response may be passed on while it is received
 	Workspace    string
 	Nested       bool // as in ForwardArrived
+	BodyAhead    bool // the body is offered to the target and sent before the call
 }
 
 // Probe checks whether the connection of a forwarded attempt answers within Timeout. A connection that does
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -110,7 +110,7 @@
 	}
 	call := s.newIngressCall(in, route, workspace)
 	s.noteNested(call)
-	if call.key == "" && s.shouldRefuseEarly(call) {
+	if call.key == "" && (s.shouldRefuseEarly(call) || s.linkRefusesEarly(call)) || s.receiveLinkRefuses(call) {
 		s.failCall(call, OutcomeNotRun, ReasonDeadline)
 		return
 	}
@@ -300,7 +300,8 @@
 	call.limits.RetriesLeft = s.retriesLeft(call)
 	call.sentAt = s.now
 	if call.route.Idempotent {
-		call.expectedDuration = s.estimateDuration(&servingUpstream{Member: target, load: s.loadOf(target.Node)}, call.loadClass())
+		at := &servingUpstream{Member: target, load: s.loadOf(target.Node)}
+		call.expectedDuration = max(s.estimateDuration(at, call.loadClass()), s.linkTime(at, call))
 	}
 	if target.Node == s.cfg.Self {
 		s.setPhase(call, ingressLocal)
@@ -316,7 +317,7 @@
 		Route: call.route.Name, Pool: call.route.Pool, Priority: call.route.Priority,
 		Idempotent: call.route.Idempotent, Key: call.key, KeyRetention: call.route.KeyRetention,
 		TimeLeft: left, DueIn: s.timeUntilDue(call), Limits: call.limits, RequestID: call.requestID,
-		Streaming: call.route.Streaming, Workspace: call.workspace, Nested: call.nested,
+		Streaming: call.route.Streaming, Workspace: call.workspace, Nested: call.nested, BodyAhead: s.sendsBodyAhead(call.reservedBytes),
 	})
 	s.timers.set(timerKey{kind: timerIngressCheck, call: call.handle}, s.nextCheckTime(call))
 }
@@ -506,6 +507,7 @@
 		load := s.loadOf(call.target.Node)
 		load.inFlight++
 		load.sentSinceReport++
+		s.noteLinkSent(call, load)
 	}
 	call.phase = phase
 }
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -151,7 +151,9 @@
 	// RouteNested says whether the route of the answered call is nested when it is called from beside the ingress node.
 	RouteNested nested.Verdict
 	// Withheld is the percentage of new calls of the same route to refuse, because the calls that they would make fail.
-	Withheld int
+	Withheld      int
+	LinkBacklog   time.Duration // how long the link of the instance takes for what it has to send; 0 if it is not known
+	LinkInBacklog time.Duration // the same for the bodies that it has to receive
 }
 
 // PeerRef identifies one incarnation of a node and the address at which it is reached.
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -86,11 +86,11 @@
 	}
 	var answer Answer
 	key := connKey{f.To.Address, c.classFor(args, request)}
-	if c.isLarge(request) {
+	if f.BodyAhead {
 		if refused := c.sendAhead(ctx, key, f, args); refused != nil {
 			return *refused, nil
 		}
-	} else if !f.Streaming {
+	} else if !f.Streaming && !c.isLarge(request) {
 		c.pacer.NoteSmall()
 	}
 	args.Parts = c.pacer != nil
@@ -98,6 +98,8 @@
 	if err != nil {
 		if args.maybeSent.Load() {
 			done.Result = reducer.ForwardLost
+		} else if args.Uploaded {
+			c.endUpload(f)
 		}
 		return done, nil
 	}
@@ -106,6 +108,7 @@
 	done.Load, done.RetriesUsed = answer.Load.toLoadReport(), answer.RetriesUsed
 	done.Took = time.Duration(answer.Took)
 	response := answer.toResponse()
+	done.Bytes = max(int64(len(answer.Body)), answer.Length)
 	if response == nil || !answer.HasRest {
 		return done, response
 	}
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -49,6 +49,8 @@
 	NestedTime  uint32 // as LeastTime, for nested calls
 	RouteNested uint8  // whether the route of the call is nested: 0 not known, 1 yes, 2 no
 	Withheld    int    // percentage of new calls of the route to refuse
+	Link        uint32 // backlog of the instance's link; 0 if it is not known
+	LinkIn      uint32 // the same for bodies that it receives
 }
 
 // loadTimeUnit is the unit of the times in a Load.
@@ -59,6 +61,7 @@
 		Service: wireLoadTime(l.ServiceTime), Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 		Wait: wireLoadTimes(l.Waits[:]), LateWait: wireLoadTimes(l.LateWaits[:]), LeastTime: wireLoadTimes(l.ShortestServiceTimes[:]),
 		NestedWait: wireLoadTime(l.NestedWait), NestedTime: wireLoadTime(l.NestedServiceTime), RouteNested: uint8(l.RouteNested), Withheld: l.Withheld,
+		Link: wireLoadTime(l.LinkBacklog), LinkIn: wireLoadTime(l.LinkInBacklog),
 	}
 }
 
@@ -93,6 +96,7 @@
 		ServiceTime: time.Duration(l.Service) * loadTimeUnit, Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 		NestedWait: time.Duration(l.NestedWait) * loadTimeUnit, NestedServiceTime: time.Duration(l.NestedTime) * loadTimeUnit,
 		RouteNested: nested.Verdict(l.RouteNested), Withheld: l.Withheld,
+		LinkBacklog: time.Duration(l.Link) * loadTimeUnit, LinkInBacklog: time.Duration(l.LinkIn) * loadTimeUnit,
 	}
 	setLoadTimes(out.Waits[:], l.Wait)
 	setLoadTimes(out.LateWaits[:], l.LateWait)
