--- a/reducer/admission.go
+++ b/reducer/admission.go
@@ -55,12 +55,12 @@
 		return missesDeadline(q.nestedWait(slots, pool, call.due), service, deviation, call.deadline-s.now)
 	}
 	if call.due > 0 {
-		call.late = missesDeadline(q.wait(call.priority, slots, pool, call.due), service, deviation, call.due-s.now)
+		call.late = missesDeadline(q.waitOfCall(call, slots, pool, call.due), service, deviation, call.due-s.now)
 	}
 	if call.late {
 		return missesDeadline(q.lateWait(call.priority, slots, pool, service), service, deviation, call.deadline-s.now)
 	}
-	return missesDeadline(q.wait(call.priority, slots, pool, call.due), service, deviation, call.deadline-s.now)
+	return missesDeadline(q.waitOfCall(call, slots, pool, call.due), service, deviation, call.deadline-s.now)
 }
 
 // missesDeadline reports whether a call is expected to take longer than left, the time until its deadline or due time.
@@ -119,10 +119,7 @@
 func (s *State) makeRoom(call *targetCall, pool tables.Pool) bool {
 	q := &s.target.queue
 	for q.count >= pool.QueueLimit || s.target.queuedBytes+call.bytes > s.cfg.Limits.MaxQueuedBytes {
-		candidate := q.evictionCandidate(call.priority, pool)
-		if call.nested {
-			candidate = q.evictionForNested(pool)
-		}
+		candidate := q.evictionFor(call, pool)
 		if candidate == nil {
 			return false
 		}
--- a/reducer/estimate.go
+++ b/reducer/estimate.go
@@ -53,13 +53,18 @@
 // The work ahead is served at the rate that more urgent arrivals and the minimum shares of less urgent priorities
 // leave. The priority's own minimum share is a second way to a slot; the shorter wait counts.
 func (q *priorityQueue) wait(priority, slots int, pool tables.Pool, due time.Duration) time.Duration {
+	return q.waitBehind(priority, slots, pool, q.waiting[priority].workAhead(due).Seconds())
+}
+
+// waitBehind is wait for a call behind work of its own priority, given in seconds of slot time.
+func (q *priorityQueue) waitBehind(priority, slots int, pool tables.Pool, own float64) time.Duration {
 	if q.running < slots && q.count == 0 {
 		return 0
 	}
 	if q.discipline == DisciplineFIFO {
 		return q.waitFIFO(slots)
 	}
-	return boundedWait(min(q.waitByPriority(priority, slots, pool, due), q.waitByShare(priority, slots, pool, due)))
+	return boundedWait(min(q.waitByPriority(priority, slots, pool, own), q.waitByShare(priority, slots, pool, own)))
 }
 
 // boundedWait converts seconds to a duration of at most maxWait.
@@ -104,7 +109,7 @@
 
 // waitByPriority estimates the wait in seconds by the order of priorities, +Inf when the arrivals that go first take
 // all slots.
-func (q *priorityQueue) waitByPriority(priority, slots int, pool tables.Pool, due time.Duration) float64 {
+func (q *priorityQueue) waitByPriority(priority, slots int, pool tables.Pool, own float64) float64 {
 	rate := float64(max(slots, 1)) - q.nested.arrivalRate(slots, pool)
 	ahead := q.meanRunningCost() + q.nested.list.work.Seconds()
 	for p := range q.waiting {
@@ -113,7 +118,7 @@
 			ahead += q.waiting[p].work.Seconds()
 			rate -= q.arrivalRate(p)
 		case p == priority:
-			ahead += q.waiting[p].workAhead(due).Seconds()
+			ahead += own
 		default:
 			rate -= q.shareRateInUse(p, slots, pool)
 		}
@@ -135,12 +140,12 @@
 }
 
 // waitByShare estimates the wait in seconds by the priority's own minimum share, +Inf when it has none.
-func (q *priorityQueue) waitByShare(priority, slots int, pool tables.Pool, due time.Duration) float64 {
+func (q *priorityQueue) waitByShare(priority, slots int, pool tables.Pool, own float64) float64 {
 	rate := q.shareRate(priority, slots, pool)
 	if rate == 0 {
 		return math.Inf(1)
 	}
-	owed := q.waiting[priority].workAhead(due).Seconds() - q.credit[priority]
+	owed := own - q.credit[priority]
 	return max(owed, 0)/rate + q.meanRunningCost()/float64(max(slots, 1))
 }
 
--- a/reducer/mesh_test.go
+++ b/reducer/mesh_test.go
@@ -20,6 +20,7 @@
 	nodes   []*meshNode
 	byID    map[NodeID]*meshNode
 	works   map[CallID]*meshRequest
+	slots   int
 	learned map[string]time.Duration // when the first node learned that a route is nested
 	// execute runs a request at a backend server and calls done with the status of its response.
 	execute func(n *meshNode, route string, request *meshRequest, done func(status int))
@@ -50,10 +51,10 @@
 	ended   func(status int, retryAfter time.Duration)
 }
 
-// newMesh returns a mesh with the given number of nodes by service; their backend servers have 6 slots.
-func newMesh(t testing.TB, seed uint64, cfg Config, services map[string]int, order []string) *mesh {
+// newMesh returns a mesh with the given number of nodes by service, whose backend servers have the given slots each.
+func newMesh(t testing.TB, seed uint64, cfg Config, services map[string]int, order []string, slots int) *mesh {
 	t.Helper()
-	m := &mesh{rng: rand.New(rand.NewPCG(seed, 1)), byID: map[NodeID]*meshNode{}, works: map[CallID]*meshRequest{}, learned: map[string]time.Duration{}}
+	m := &mesh{slots: slots, rng: rand.New(rand.NewPCG(seed, 1)), byID: map[NodeID]*meshNode{}, works: map[CallID]*meshRequest{}, learned: map[string]time.Duration{}}
 	for _, service := range order {
 		for range services[service] {
 			n := &meshNode{
@@ -81,7 +82,7 @@
 }
 
 func (n *meshNode) register() {
-	n.reduce(BackendRegistered{Service: n.service, Address: "127.0.0.1:1", Slots: 6})
+	n.reduce(BackendRegistered{Service: n.service, Address: "127.0.0.1:1", Slots: n.mesh.slots})
 	n.mesh.after(time.Second, n.register)
 }
 
--- a/reducer/nested_calls.go
+++ b/reducer/nested_calls.go
@@ -152,11 +152,13 @@
 	}
 	admitted, _ := s.nested.holdback.Admitted(s.now, call.route)
 	report.Withheld = int(100 - 100*admitted)
+	s.addWorkspaceWait(call, &report)
 	return report
 }
 
 // learnFromReport takes over what a target has learned of the route of a call.
 func (s *State) learnFromReport(call *ingressCall, report *LoadReport) {
+	s.noteWorkspaceWait(call, report)
 	n, route := &s.nested, call.route.Name
 	if report.RouteNested != nested.Unknown && (len(n.verdicts) < maxNestedRoutes || report.RouteNested == nested.Ordinary) {
 		if n.verdicts == nil {
--- a/reducer/nested_sim_test.go
+++ b/reducer/nested_sim_test.go
@@ -69,7 +69,7 @@
 	t.Helper()
 	cfg := testTables(t, nestedRoutes, nestedPools)
 	cfg.DisableNested = load.disabled
-	m := newMesh(t, load.seed, cfg, map[string]int{"vacancies": 9, "reservations": 6}, []string{"vacancies", "reservations"})
+	m := newMesh(t, load.seed, cfg, map[string]int{"vacancies": 9, "reservations": 6}, []string{"vacancies", "reservations"}, 6)
 	for i, n := range m.nodes {
 		n.speed = 0.7 + 0.6*float64(i%4)/3 // mean 1
 	}
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/fairshare"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -111,6 +112,7 @@
 	service         serviceTimes
 	shortestService [tables.Priorities]shortestService
 	nested          nestedQueue
+	fair            [tables.Priorities]fairshare.Queue // used for calls with a flow
 }
 
 func (q *priorityQueue) init() { q.service.init() }
@@ -137,6 +139,9 @@
 func (q *priorityQueue) insert(call *targetCall) {
 	q.list(call).push(call)
 	q.count++
+	if call.flow != nil && !call.late {
+		q.fair[call.priority].Queued(q.now, call.flow, call.cost.Seconds())
+	}
 }
 
 // list returns the list that a call belongs to.
@@ -153,6 +158,9 @@
 func (q *priorityQueue) remove(call *targetCall) {
 	q.list(call).remove(call)
 	q.count--
+	if call.flow != nil && !call.late {
+		q.fair[call.priority].Removed(call.flow, call.cost.Seconds())
+	}
 }
 
 // pop removes and returns the next call to start, or returns nil.
@@ -172,6 +180,9 @@
 	call.cost = q.service.statsOf(call.route).mean
 	q.runningCost += call.cost
 	q.running++
+	if call.flow != nil {
+		q.fair[call.priority].Started(call.flow, call.cost.Seconds())
+	}
 	if call.fromMinShare {
 		q.shareRunning[call.priority]++
 	}
@@ -182,6 +193,9 @@
 func (q *priorityQueue) accountEnd(call *targetCall, done BackendRequestDone, slots int, pool tables.Pool) {
 	q.runningCost -= call.cost
 	q.running--
+	if call.flow != nil {
+		q.fair[call.priority].Ended(call.flow, call.cost.Seconds(), done.Elapsed.Seconds())
+	}
 	if call.fromMinShare {
 		q.shareRunning[call.priority]--
 	}
@@ -199,7 +213,7 @@
 		return nested, false
 	}
 	for p := range q.waiting {
-		head := q.waiting[p].head
+		head := q.firstOf(p)
 		if head == nil {
 			continue
 		}
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -173,6 +173,9 @@
 	if !ok {
 		return false
 	}
+	if s.sharesApply(call) {
+		return s.workspaceRefusal(call)
+	}
 	usable := s.usableUpstreams(pool.Service, nil)
 	for _, u := range usable {
 		if u.Node != s.cfg.Self && !u.load.hasFreshReport(s.now, earlyReportMaxAge) {
--- a/reducer/retry_after.go
+++ b/reducer/retry_after.go
@@ -38,6 +38,9 @@
 	}
 	left := call.effectiveDeadline(s.now) - s.now
 	excess, limit := s.estimateShortestDuration(call)-left, max(left/retryAfterDivisor, minRetryAfter)
+	if s.sharesApply(call) {
+		return s.spreadRetryAfter(call, min(max(s.workspaceExcess(call, left), minRetryAfter), limit), limit)
+	}
 	return min(max(excess, minRetryAfter), limit)
 }
 
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -49,6 +49,8 @@
 	Discipline Discipline // order of the queue; measurements and tests set other values than the default
 	// DisableNested treats nested calls like any others, for comparison in measurements and tests.
 	DisableNested bool
+	// DisableFairness treats calls of all workspaces as those of one, for the same purpose.
+	DisableFairness bool
 }
 
 // Tunables are the settings that may change while the process runs.
@@ -81,6 +83,7 @@
 	ingress  ingressState
 	target   targetState
 	nested   nestedState
+	fair     fairState
 	owners   ownerState
 	shutdown shutdownState
 	platform platformState
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/fairshare"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -30,8 +31,9 @@
 	abandoned    bool // nobody waits for it, but its record may need the outcome
 	limits       CallLimits
 	requestID    string
-	workspace    string // empty for none
-	nested       bool   // see State.noteNested
+	workspace    string          // empty for none
+	nested       bool            // see State.noteNested
+	flow         *fairshare.Flow // nil without workspaces
 	bytes        int64
 	phase        targetPhase
 	record       *record       // nil for idempotent calls
@@ -123,7 +125,9 @@
 		return
 	}
 	s.prepareNested(call)
+	s.assignFlow(call)
 	if reason := s.refusalReason(call); reason != ReasonNone {
+		s.logShare(call, reason)
 		s.answerCall(call, OutcomeNotRun, reason)
 		return
 	}
--- a/reducer/types.go
+++ b/reducer/types.go
@@ -150,6 +150,8 @@
 	NestedServiceTime time.Duration
 	// RouteNested says whether the route of the answered call is nested when it is called from beside the ingress node.
 	RouteNested nested.Verdict
+	// WorkspaceWait is the expected time in the queue of calls of the same workspace and priority; 0 without workspaces.
+	WorkspaceWait time.Duration
 	// Withheld is the percentage of new calls of the same route to refuse, because the calls that they would make fail.
 	Withheld int
 }
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -49,6 +49,7 @@
 	NestedTime  uint32 // as LeastTime, for nested calls
 	RouteNested uint8  // whether the route of the call is nested: 0 not known, 1 yes, 2 no
 	Withheld    int    // percentage of new calls of the route to refuse
+	SpaceWait   uint32 // as Wait, for calls of the workspace of the answered call
 }
 
 // loadTimeUnit is the unit of the times in a Load.
@@ -59,6 +60,7 @@
 		Service: wireLoadTime(l.ServiceTime), Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 		Wait: wireLoadTimes(l.Waits[:]), LateWait: wireLoadTimes(l.LateWaits[:]), LeastTime: wireLoadTimes(l.ShortestServiceTimes[:]),
 		NestedWait: wireLoadTime(l.NestedWait), NestedTime: wireLoadTime(l.NestedServiceTime), RouteNested: uint8(l.RouteNested), Withheld: l.Withheld,
+		SpaceWait: wireLoadTime(l.WorkspaceWait),
 	}
 }
 
@@ -92,7 +94,7 @@
 	out := reducer.LoadReport{
 		ServiceTime: time.Duration(l.Service) * loadTimeUnit, Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 		NestedWait: time.Duration(l.NestedWait) * loadTimeUnit, NestedServiceTime: time.Duration(l.NestedTime) * loadTimeUnit,
-		RouteNested: nested.Verdict(l.RouteNested), Withheld: l.Withheld,
+		RouteNested: nested.Verdict(l.RouteNested), Withheld: l.Withheld, WorkspaceWait: time.Duration(l.SpaceWait) * loadTimeUnit,
 	}
 	setLoadTimes(out.Waits[:], l.Wait)
 	setLoadTimes(out.LateWaits[:], l.LateWait)
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -18,6 +18,7 @@
 	familyAttempts     = "rosemaryhatch_call_attempts_total"
 	familyRetries      = "rosemaryhatch_call_retries_total"
 	familyNested       = "rosemaryhatch_nested_calls_total"
+	familyWorkspaces   = "rosemaryhatch_workspace_calls_total"
 	familyQueueWait    = "rosemaryhatch_queue_seconds"
 	familyLatency      = "rosemaryhatch_call_seconds"
 	familyRefusals     = "rosemaryhatch_refusals_total"
@@ -115,6 +116,9 @@
 	if e.Nested {
 		metrics.GetOrRegisterCounter(fmt.Sprintf("%s{outcome=%q}", familyNested, e.Outcome), m.registry).Inc(1)
 	}
+	if e.Workspace != "" {
+		metrics.GetOrRegisterCounter(fmt.Sprintf("%s{workspace=%q,outcome=%q}", familyWorkspaces, e.Workspace, e.Outcome), m.registry).Inc(1)
+	}
 }
 
 // callCounter returns the counter for the priority, outcome and reason of a call. Counters are cached by index, because
