reducer: 500s by failing nested calls do not eject a server; bounded log lines of the holdback

A backend server whose nested calls failed answered 500 and was ejected, so that the others got its load as well. Each change of the holdback wrote a log line, or none when another call had seen the change first.

Such responses are not counted while the server's node holds the route back, and at most two lines are written in 5 s.

--- a/reducer/eject.go
+++ b/reducer/eject.go
@@ -119,6 +119,9 @@
 	}
 	switch in.Outcome {
 	case OutcomeDone:
+		if in.Load.Withheld > 0 && in.Status >= failureStatus {
+			return resultNone // the calls that the backend server makes fail, which is not its fault
+		}
 		return classifyStatus(in.Status)
 	case OutcomeNotRun:
 		return classifyRefusal(in.Reason)
--- a/reducer/nested/holdback.go
+++ b/reducer/nested/holdback.go
@@ -19,6 +19,8 @@
 	regain = 0.05
 	// minAdmitted is the share that is always admitted. It shows when nested calls succeed again.
 	minAdmitted = 0.05
+	// reportInterval is the least time between two log lines that requests of a route are held back.
+	reportInterval = 5 * time.Second
 )
 
 // Holdback limits new requests of routes whose nested calls fail: the share that is admitted falls by a factor while
@@ -31,6 +33,8 @@
 	admitted      float64
 	calls, failed float64
 	adjusted      time.Duration
+	reported      bool // the log says that requests are held back
+	reportedAt    time.Duration
 }
 
 // Finished counts the end of a nested call that was made with the given probability by a request of a route.
@@ -52,23 +56,38 @@
 	}
 }
 
-// Admitted returns the share of the new requests of a route to admit, from 0 to 1. changed is set when it has fallen below
-// 1 or returned to it since the last call.
-func (h *Holdback) Admitted(now time.Duration, route string) (share float64, changed bool) {
+// Admitted returns the share of the new requests of a route to admit, from 0 to 1.
+func (h *Holdback) Admitted(now time.Duration, route string) float64 {
 	entry := h.routes[route]
 	if entry == nil {
-		return 1, false
+		return 1
 	}
-	before := entry.admitted
 	for entry.adjusted+holdStep <= now {
 		entry.step()
 		entry.adjusted += holdStep
-		if entry.admitted == 1 && entry.calls < priorCalls {
+		if entry.admitted == 1 && entry.calls < priorCalls && !entry.reported && now-entry.reportedAt > reportInterval {
 			delete(h.routes, route)
-			break
+			return 1
 		}
 	}
-	return entry.admitted, (before < 1) != (entry.admitted < 1)
+	return entry.admitted
+}
+
+// Report reports whether to log that requests of a route are held back, or no longer. It is true at most twice in
+// reportInterval.
+func (h *Holdback) Report(now time.Duration, route string) bool {
+	entry := h.routes[route]
+	if entry == nil {
+		return false
+	}
+	holds := entry.admitted < 1
+	if holds == entry.reported || holds && entry.reportedAt > 0 && now-entry.reportedAt < reportInterval {
+		return false
+	}
+	if entry.reported = holds; holds {
+		entry.reportedAt = now
+	}
+	return true
 }
 
 func (e *held) step() {
--- a/reducer/nested/nested_test.go
+++ b/reducer/nested/nested_test.go
@@ -126,7 +126,7 @@
 	run := func(until time.Duration, failed func() bool) (share float64) {
 		for ; now < until; now += 10 * time.Millisecond {
 			h.Finished(now, "check", 1, failed())
-			share, _ = h.Admitted(now, "check")
+			share = h.Admitted(now, "check")
 			lowest = min(lowest, share)
 		}
 		return share
@@ -139,3 +139,19 @@
 		t.Errorf("3 s after the failures %.2f are admitted", share)
 	}
 }
+
+// Guards against a log line for each change while requests are held back on and off.
+func TestHoldbackReportsAreBounded(t *testing.T) {
+	var h Holdback
+	lines := 0
+	for now := time.Duration(0); now < 30*time.Second; now += 10 * time.Millisecond {
+		h.Finished(now, "check", 1, now%time.Second < 100*time.Millisecond)
+		h.Admitted(now, "check")
+		if h.Report(now, "check") {
+			lines++
+		}
+	}
+	if lines == 0 || lines > 12 {
+		t.Errorf("%d log lines in 30 s", lines)
+	}
+}
--- a/reducer/nested_calls.go
+++ b/reducer/nested_calls.go
@@ -150,7 +150,7 @@
 	if origin, known := s.members.table[call.id.Origin]; known {
 		report.RouteNested = s.nested.origins.Verdict(call.route, s.callingService(origin))
 	}
-	admitted, _ := s.nested.holdback.Admitted(s.now, call.route)
+	admitted := s.nested.holdback.Admitted(s.now, call.route)
 	report.Withheld = int(100 - 100*admitted)
 	s.addWorkspaceWait(call, &report)
 	return report
@@ -201,14 +201,24 @@
 
 // isWithheldHere is isWithheld for a call that has reached the node beside its backend server.
 func (s *State) isWithheldHere(call *targetCall) bool {
-	admitted, changed := s.nested.holdback.Admitted(s.now, call.route)
-	if changed {
+	admitted := s.nested.holdback.Admitted(s.now, call.route)
+	if s.nested.holdback.Report(s.now, call.route) {
 		s.log(LevelInfo, "requests whose nested calls fail are held back", Field{"route", call.route}, Field{"admitted", admitted},
 			Field{"failed", s.nested.holdback.FailShare(call.route)})
 	}
 	return admitted < 1 && s.random(100) >= int(100*admitted)
 }
 
+// failsByNested reports whether a response of the backend server is a failure while the calls that it makes for requests of
+// the same route fail, which is not its fault.
+func (s *State) failsByNested(call *targetCall, in BackendRequestDone) bool {
+	if in.Status < failureStatus {
+		return false
+	}
+	admitted := s.nested.holdback.Admitted(s.now, call.route)
+	return admitted < 1
+}
+
 // withheldRetryAfter returns the time until all calls of a route are admitted again if its nested calls succeed, within the
 // bounds of other hints.
 func (s *State) withheldRetryAfter(call *ingressCall) time.Duration {
--- a/reducer/nested_test.go
+++ b/reducer/nested_test.go
@@ -79,3 +79,16 @@
 		t.Error("a route whose calls arrive while nothing runs counts as nested")
 	}
 }
+
+// Guards against the ejection of backend servers because the calls that they make fail elsewhere: the others would get their
+// load as well.
+func TestServersAreNotEjectedForTheirNestedCalls(t *testing.T) {
+	failed := ForwardDone{Result: ForwardAnswered, Outcome: OutcomeDone, Status: 500}
+	if got := classifyForward(failed); got != resultFailure {
+		t.Errorf("a response with 500 counts as %d", got)
+	}
+	failed.Load.Withheld = 20
+	if got := classifyForward(failed); got != resultNone {
+		t.Errorf("a response with 500 of a server whose nested calls fail counts as %d", got)
+	}
+}
