--- a/reducer/state.go
+++ b/reducer/state.go
@@ -50,6 +50,8 @@
 	Discipline Discipline // order of the queue; measurements and tests set other values than the default
 	// DisableNested treats nested calls like any others, for comparison in measurements and tests.
 	DisableNested bool
+	// DisableFairness treats calls of all workspaces as those of one, for the same purpose.
+	DisableFairness bool
 }
 
 // Tunables are the settings that may change while the process runs.
@@ -83,6 +85,7 @@
 	target   targetState
 	nested   nestedState
 	links    linkState
+	fair     fairState
 	owners   ownerState
 	shutdown shutdownState
 	platform platformState
