reducer/quota: token buckets with owners and tokens ahead

A workspace has a rate and a burst at all nodes together, but nothing counted its requests across nodes.

The package holds both sides without I/O. The owner of a workspace, by rendezvous hash, keeps its token bucket and grants tokens for calls that wait and for expected calls. Nodes without an owner use an allowance from the permitted overage.

--- /dev/null
+++ b/reducer/quota/node.go
@@ -0,0 +1,390 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/tables"
+)
+
+const (
+	// requestInterval is the shortest interval between two requests of a node to one owner.
+	requestInterval = 50 * time.Millisecond
+	// answerTimeout is how long a node waits for a grant before it counts the owner as silent.
+	answerTimeout = maxWait
+	// silentInterval is the interval of the requests to an owner that is silent or does not grant. Calls do not wait for it
+	// meanwhile.
+	silentInterval = 250 * time.Millisecond
+	// demandPeriod is the time constant of the average of the demand.
+	demandPeriod = 4 * time.Second
+	// minAheadDemand is the least demand for which a node holds tokens ahead. A single call gives 0.25: the tokens and
+	// messages that it would cost serve no second call of most workspaces.
+	minAheadDemand = 0.3
+	// aheadTime is the time for whose expected calls a node holds tokens.
+	aheadTime = time.Second
+	// renewalFraction is the last part of the validity of tokens in which they are returned for new ones.
+	renewalFraction = 0.25
+	// aheadRequests is the greatest number of requests for tokens ahead within their validity. An owner whose bucket is low
+	// grants none.
+	aheadRequests = 4
+	// retryAfterUnowned is the Retry-After of calls that are refused while no owner grants.
+	retryAfterUnowned = time.Second
+)
+
+// Result says what becomes of a call.
+type Result uint8
+
+// The results of Arrive, and of the decisions about calls that wait.
+const (
+	Admitted Result = iota + 1
+	Waiting
+	Refused
+)
+
+// Decision is the result for a call.
+type Decision struct {
+	Call       uint64
+	Result     Result
+	RetryAfter time.Duration // for Refused
+	Wait       time.Duration // how long the call waited
+}
+
+// Outgoing is a message to another node: a request to an owner, or buckets that the sender no longer owns.
+type Outgoing struct {
+	To       Peer
+	Request  Request
+	Releases []Release
+}
+
+// NodeStats counts what a node decided.
+type NodeStats struct {
+	Admitted, Refused, Waited, ByAllowance float64 // calls
+	Requests, Silent                       float64 // requests to owners, and those without an answer in time
+}
+
+// Node decides which calls that enter at a node may go on.
+type Node struct {
+	limits     Limits
+	view       View
+	startedAt  time.Duration
+	workspaces map[string]*account
+	active     []*account // with calls that wait, tokens or demand; in the order in which they became active
+	owners     map[Peer]*ownerLink
+	open       []*ownerLink // whose request has no answer yet
+	version    uint64       // of the tables
+	seq        uint64
+	decisions  []Decision
+	outgoing   []Outgoing
+	Stats      NodeStats
+}
+
+// account is a node's side of the quota of a workspace.
+type account struct {
+	name   string
+	plan   plan
+	active bool
+	// owner is valid if hasOwner is set. Both are derived from the view.
+	owner     Peer
+	hasOwner  bool
+	allowance int          // requests per window without an owner
+	tokens    []heldTokens // by expiry
+	waits     []waiting
+	// immediate is the number of tokens for calls that wait while a grant is handled.
+	immediate float64
+
+	demand   float64 // requests per second, at demandAt
+	demandAt time.Duration
+	shortTo  time.Duration // the owner has no token for this node before
+	idleTo   time.Duration // the owner grants nothing before
+	aheadTo  time.Duration // the owner has no tokens ahead of calls before
+	// askedAhead is the number of tokens ahead that the latest request asked for.
+	askedAhead float64
+	asked      bool // the open request to the owner asks for this workspace
+	wantsNow   bool // a request is due
+
+	used []time.Duration // uses of the allowance within the last window
+}
+
+type heldTokens struct {
+	from    Peer
+	tokens  float64
+	renewAt time.Duration
+	expires time.Duration
+}
+
+type waiting struct {
+	call  uint64
+	since time.Duration
+}
+
+// ownerLink is the state of the requests to one owner.
+type ownerLink struct {
+	peer     Peer
+	seq      uint64
+	sentAt   time.Duration
+	open     bool // the request has no answer yet, and answerTimeout has not passed
+	answered bool
+	silent   bool       // the last request had no answer in time
+	asks     []*account // of the open request
+}
+
+// NewNode returns the side of a node that started at the given time.
+func NewNode(limits Limits, now time.Duration) *Node {
+	return &Node{limits: limits, startedAt: now, workspaces: map[string]*account{}, owners: map[Peer]*ownerLink{}}
+}
+
+// SetWorkspaces sets the workspaces with a quota of a version of the tables. Calls that wait for one without a quota now
+// are admitted. Tokens of a quota that was lowered are dropped.
+func (n *Node) SetWorkspaces(now time.Duration, version uint64, workspaces []tables.Workspace) {
+	n.version = version
+	next := make(map[string]*account, len(workspaces))
+	for _, w := range workspaces {
+		a := n.workspaces[w.Name]
+		if a == nil {
+			a = &account{name: w.Name, demandAt: now}
+		}
+		before := a.plan.quota
+		if a.plan = newPlan(w, n.limits); a.plan.quota < before {
+			a.tokens = nil
+		}
+		n.updateOwner(a)
+		next[w.Name] = a
+	}
+	n.active = slices.DeleteFunc(n.active, func(a *account) bool {
+		if next[a.name] != nil {
+			return false
+		}
+		for _, w := range a.waits {
+			n.decide(now, w, Admitted, 0)
+		}
+		a.waits = nil
+		return true
+	})
+	n.workspaces = next
+}
+
+// SetView sets the members that are known.
+func (n *Node) SetView(view View) {
+	n.view = view
+	for peer, link := range n.owners {
+		if !slices.Contains(view.Live, peer) {
+			n.close(link)
+			delete(n.owners, peer)
+		}
+	}
+	for _, a := range n.workspaces {
+		n.updateOwner(a)
+	}
+}
+
+func (n *Node) updateOwner(a *account) {
+	owner, ok := n.view.ownerOf(a.name)
+	if owner != a.owner || ok != a.hasOwner {
+		a.shortTo, a.idleTo, a.aheadTo = 0, 0, 0
+	}
+	a.owner, a.hasOwner = owner, ok
+	a.allowance = n.view.allowanceOf(a.name, a.plan.allowance)
+}
+
+// Limits reports whether the calls of a workspace are limited.
+func (n *Node) Limits(workspace string) bool { return n.workspaces[workspace] != nil }
+
+// Arrive decides about a new call. One that waits gets a decision later.
+func (n *Node) Arrive(now time.Duration, workspace string, call uint64) Decision {
+	a := n.workspaces[workspace]
+	if a == nil {
+		return Decision{Call: call, Result: Admitted}
+	}
+	a.noteCall(now)
+	a.expire(now)
+	if !a.active {
+		a.active = true
+		n.active = append(n.active, a)
+	}
+	if a.take() {
+		n.Stats.Admitted++
+		n.ask(now, a)
+		return Decision{Call: call, Result: Admitted}
+	}
+	if a.shortTo > now+maxWait {
+		n.Stats.Refused++
+		return Decision{Call: call, Result: Refused, RetryAfter: a.shortTo - now}
+	}
+	if n.isUnserved(now, a) {
+		d := n.useAllowance(now, a, waiting{call, now})
+		n.ask(now, a)
+		return d
+	}
+	a.waits = append(a.waits, waiting{call, now})
+	n.ask(now, a)
+	return Decision{Call: call, Result: Waiting}
+}
+
+// isUnserved reports whether no owner is expected to grant: waiting does not help.
+func (n *Node) isUnserved(now time.Duration, a *account) bool {
+	if !a.hasOwner || now < a.idleTo {
+		return true
+	}
+	link := n.owners[a.owner]
+	return link != nil && link.silent
+}
+
+// useAllowance admits a call without an owner's token, or refuses it.
+func (n *Node) useAllowance(now time.Duration, a *account, w waiting) Decision {
+	d := Decision{Call: w.call, Result: Refused, RetryAfter: retryAfterUnowned, Wait: now - w.since}
+	window := n.limits.Window + arrivalMargin
+	a.used = slices.DeleteFunc(a.used, func(at time.Duration) bool { return now-at > window })
+	// The uses of an earlier incarnation of this node are not known.
+	if now-n.startedAt > window && len(a.used) < a.allowance {
+		a.used = append(a.used, now)
+		d.Result, d.RetryAfter = Admitted, 0
+		n.Stats.Admitted++
+		n.Stats.ByAllowance++
+		return d
+	}
+	n.Stats.Refused++
+	return d
+}
+
+// Forget removes a call that no longer waits for a decision.
+func (n *Node) Forget(workspace string, call uint64) {
+	if a := n.workspaces[workspace]; a != nil {
+		a.waits = slices.DeleteFunc(a.waits, func(w waiting) bool { return w.call == call })
+	}
+}
+
+// HandleGrant takes the answer of an owner.
+func (n *Node) HandleGrant(now time.Duration, from Peer, grant Grant) {
+	link := n.owners[from]
+	if link == nil || link.answered || link.seq != grant.Seq {
+		return // the tokens expire at the owner like unused ones
+	}
+	asked := slices.Clone(link.asks)
+	link.silent, link.answered = false, true
+	n.close(link)
+	for _, t := range grant.Tokens {
+		if a := n.workspaces[t.Workspace]; a != nil {
+			n.takeGrant(now, a, link, grant.Version, t)
+			n.serve(now, a)
+		}
+	}
+	for _, a := range asked {
+		n.serve(now, a) // also those that the owner left out
+	}
+}
+
+// takeGrant takes the tokens of one workspace. Those of an owner that does not know yet that the quota was lowered are
+// dropped.
+func (n *Node) takeGrant(now time.Duration, a *account, link *ownerLink, version uint64, t Tokens) {
+	if version >= n.version || t.Quota <= a.plan.quota {
+		a.add(now, link.peer, link.sentAt, t)
+	}
+	a.shortTo, a.idleTo, a.aheadTo = 0, 0, 0
+	switch {
+	case t.NotGranting:
+		a.idleTo = now + max(min(t.RetryAfter, maxRetryAfter), requestInterval)
+	case t.RetryAfter > 0:
+		a.shortTo = now + min(t.RetryAfter, maxRetryAfter)
+	}
+	if t.Ahead < a.askedAhead {
+		a.aheadTo = now + validity/aheadRequests
+	}
+}
+
+// serve decides about the calls that wait for a workspace, as far as it is known.
+func (n *Node) serve(now time.Duration, a *account) {
+	left := a.waits[:0]
+	for _, w := range a.waits {
+		switch {
+		case a.take():
+			n.decide(now, w, Admitted, 0)
+		case now < a.shortTo && a.shortTo >= w.since+maxWait:
+			n.decide(now, w, Refused, a.shortTo-now)
+		case n.isUnserved(now, a):
+			n.decisions = append(n.decisions, n.useAllowance(now, a, w))
+			n.Stats.Waited++
+		case now >= w.since+maxWait && a.asked:
+			// The owner has not answered in time.
+			n.decisions = append(n.decisions, n.useAllowance(now, a, w))
+			n.Stats.Waited++
+		case now >= w.since+maxWait:
+			n.decide(now, w, Refused, max(a.shortTo-now, requestInterval))
+		default:
+			left = append(left, w)
+		}
+	}
+	a.waits = left
+	a.immediate = 0
+	n.ask(now, a)
+}
+
+func (n *Node) decide(now time.Duration, w waiting, result Result, retryAfter time.Duration) {
+	n.decisions = append(n.decisions, Decision{Call: w.call, Result: result, RetryAfter: retryAfter, Wait: now - w.since})
+	n.Stats.Waited++
+	if result == Admitted {
+		n.Stats.Admitted++
+	} else {
+		n.Stats.Refused++
+	}
+}
+
+// Take returns the decisions and the requests since the last call.
+func (n *Node) Take() ([]Decision, []Outgoing) {
+	decisions, outgoing := n.decisions, n.outgoing
+	n.decisions, n.outgoing = nil, nil
+	return decisions, outgoing
+}
+
+// target is the number of tokens that a node holds ahead.
+func (a *account) target(now time.Duration) float64 {
+	demand := a.demandNow(now)
+	if demand < minAheadDemand {
+		return 0
+	}
+	return math.Ceil(demand * aheadTime.Seconds())
+}
+
+func (a *account) noteCall(now time.Duration) {
+	a.demand = a.demandNow(now) + 1/demandPeriod.Seconds()
+	a.demandAt = now
+}
+
+func (a *account) demandNow(now time.Duration) float64 {
+	return a.demand * math.Exp(-(now-a.demandAt).Seconds()/demandPeriod.Seconds())
+}
+
+// take uses the token that expires first, or returns false.
+func (a *account) take() bool {
+	if a.immediate >= 1 {
+		a.immediate--
+		return true
+	}
+	for len(a.tokens) > 0 {
+		if a.tokens[0].tokens >= 1 {
+			a.tokens[0].tokens--
+			return true
+		}
+		a.tokens = a.tokens[1:]
+	}
+	return false
+}
+
+func (a *account) expire(now time.Duration) {
+	a.tokens = slices.DeleteFunc(a.tokens, func(t heldTokens) bool { return t.expires <= now || t.tokens < 1 })
+}
+
+// add takes granted tokens. Those for calls that wait are lost unless serve uses them at once.
+func (a *account) add(now time.Duration, from Peer, sentAt time.Duration, t Tokens) {
+	a.immediate = 0
+	if sentAt+immediateValidity > now {
+		a.immediate = whole(t.Now)
+	}
+	expires := sentAt + min(t.ValidFor, validity)
+	if t.Ahead < 1 || expires <= now {
+		return
+	}
+	renewAt := expires - time.Duration(float64(t.ValidFor)*renewalFraction)
+	a.tokens = append(a.tokens, heldTokens{from, whole(t.Ahead), renewAt, expires})
+	slices.SortStableFunc(a.tokens, func(x, y heldTokens) int { return int(x.expires - y.expires) })
+}
--- /dev/null
+++ b/reducer/quota/node_ask.go
@@ -0,0 +1,159 @@
+package quota
+
+import (
+	"slices"
+	"time"
+)
+
+// ask marks a workspace as one to ask for, and sends the request to its owner if it is due.
+func (n *Node) ask(now time.Duration, a *account) {
+	a.wantsNow = n.wants(now, a)
+	if !a.wantsNow {
+		return
+	}
+	if a.hasOwner && n.requestTime(a, now) <= now {
+		n.send(now, a.owner)
+	}
+}
+
+// wants reports whether a workspace needs a request now: calls wait, or fewer than half of the tokens ahead are left that
+// need no renewal.
+func (n *Node) wants(now time.Duration, a *account) bool {
+	if a.asked {
+		return false
+	}
+	if len(a.waits) > 0 {
+		return true
+	}
+	if now < a.aheadTo {
+		return false
+	}
+	target := a.target(now)
+	return target > 0 && a.fresh(now) < (target+1)/2
+}
+
+// fresh returns the tokens that need no renewal yet.
+func (a *account) fresh(now time.Duration) float64 {
+	sum := 0.0
+	for _, t := range a.tokens {
+		if t.renewAt > now {
+			sum += t.tokens
+		}
+	}
+	return sum
+}
+
+// requestTime returns when the next request to the owner of a workspace may be sent.
+func (n *Node) requestTime(a *account, now time.Duration) time.Duration {
+	at := max(a.idleTo, a.shortTo)
+	link := n.owners[a.owner]
+	switch {
+	case link == nil:
+		return max(at, now)
+	case link.open && !link.silent:
+		return max(at, link.sentAt+answerTimeout)
+	case link.silent:
+		return max(at, link.sentAt+silentInterval)
+	default:
+		return max(at, link.sentAt+requestInterval)
+	}
+}
+
+// send sends one request for all workspaces of an owner that need one.
+func (n *Node) send(now time.Duration, owner Peer) {
+	link := n.owners[owner]
+	if link == nil {
+		link = &ownerLink{peer: owner}
+		n.owners[owner] = link
+	}
+	n.close(link)
+	n.seq++
+	request := Request{Seq: n.seq}
+	for _, a := range n.active {
+		if !a.hasOwner || a.owner != owner || now < a.idleTo || now < a.shortTo || !n.wants(now, a) {
+			continue
+		}
+		request.Asks = append(request.Asks, a.newAsk(now, owner))
+		a.asked, a.wantsNow = true, false
+		link.asks = append(link.asks, a)
+	}
+	link.seq, link.sentAt, link.open, link.answered = n.seq, now, true, false
+	n.open = append(n.open, link)
+	n.Stats.Requests++
+	n.outgoing = append(n.outgoing, Outgoing{To: owner, Request: request})
+}
+
+// newAsk asks for the tokens of one workspace, reports those that are held, and gives back those that expire soon.
+func (a *account) newAsk(now time.Duration, owner Peer) Ask {
+	ask := Ask{Workspace: a.name, Needed: float64(len(a.waits)), Demand: a.demandNow(now)}
+	a.expire(now)
+	a.tokens = slices.DeleteFunc(a.tokens, func(t heldTokens) bool {
+		switch {
+		case t.from != owner:
+			return false
+		case t.renewAt <= now:
+			ask.Returned += t.tokens
+			return true
+		default:
+			ask.Held += t.tokens
+			return false
+		}
+	})
+	ask.Ahead = max(a.target(now)-a.fresh(now), 0)
+	a.askedAhead = ask.Ahead
+	return ask
+}
+
+// close ends the wait for the answer to a request.
+func (n *Node) close(link *ownerLink) {
+	link.open = false
+	n.open = slices.DeleteFunc(n.open, func(other *ownerLink) bool { return other == link })
+	for _, a := range link.asks {
+		a.asked = false
+	}
+	link.asks = link.asks[:0]
+}
+
+// Advance decides about calls whose wait has ended, notices owners that are silent, and sends the requests that are due.
+func (n *Node) Advance(now time.Duration) {
+	for _, link := range slices.Clone(n.open) {
+		if now >= link.sentAt+answerTimeout {
+			link.silent = true
+			n.Stats.Silent++
+			n.close(link)
+		}
+	}
+	n.active = slices.DeleteFunc(n.active, func(a *account) bool {
+		a.expire(now)
+		n.serve(now, a)
+		a.active = len(a.waits) > 0 || len(a.tokens) > 0 || a.asked || a.target(now) > 0
+		return !a.active
+	})
+}
+
+// NextWake returns when Advance has something to do, or false.
+func (n *Node) NextWake(now time.Duration) (time.Duration, bool) {
+	next, ok := time.Duration(0), false
+	note := func(at time.Duration) {
+		if at = max(at, now); !ok || at < next {
+			next, ok = at, true
+		}
+	}
+	for _, a := range n.active {
+		if len(a.waits) > 0 {
+			note(a.waits[0].since + maxWait)
+		}
+		if a.wantsNow && !a.asked {
+			if a.hasOwner {
+				note(n.requestTime(a, now))
+			}
+		}
+		if i := slices.IndexFunc(a.tokens, func(t heldTokens) bool { return t.renewAt > now }); i >= 0 && !a.asked {
+			note(max(a.tokens[i].renewAt, a.aheadTo))
+		}
+	}
+	for _, link := range n.open {
+		note(link.sentAt + answerTimeout)
+	}
+	return next, ok
+}
--- /dev/null
+++ b/reducer/quota/owner.go
@@ -0,0 +1,377 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/tables"
+)
+
+const (
+	// takeOverDelay is how long a new owner grants nothing. Suspicion makes it the owner 1.2 s after the last contact with
+	// the earlier one, which may be alive beyond a partition: it knows after 3.6 s that it hears fewer members. A larger
+	// share of the rate also takes effect only then.
+	takeOverDelay = 3 * time.Second
+	// stampInterval is the precision of the expiry of tokens for calls that wait, at the owner.
+	stampInterval = 50 * time.Millisecond
+	// demandRetention is how long the demand of a node counts after its last request. It is longer than validity.
+	demandRetention = 3 * time.Second
+	// overloadRetryAfter is the shortest time after which a node asks again for a workspace that exceeds its quota. With 90
+	// nodes it means 225 requests a second to the owner of one.
+	overloadRetryAfter = 400 * time.Millisecond
+	maxRetryAfter      = 5 * time.Second
+	// notGrantingRetryAfter is how soon a node asks again while the owner does not grant.
+	notGrantingRetryAfter = 250 * time.Millisecond
+	// aheadReserve is the part of the bucket that is kept for calls that wait, and not granted ahead.
+	aheadReserve = 0.25
+	// releaseRetention is how long a passed bucket waits until this node knows that it is the owner.
+	releaseRetention = time.Second
+	// resumeMargin is how long after a pause of the process messages may arrive that waited during it.
+	resumeMargin = time.Second
+	// maxHolders bounds the nodes that are known for a workspace. Others get no tokens ahead.
+	maxHolders = 4096
+)
+
+// OwnerStats counts what an owner decided.
+type OwnerStats struct {
+	Requests, Granted, Returned, Short float64
+}
+
+// Owner grants the tokens of the workspaces that a node owns.
+type Owner struct {
+	limits     Limits
+	view       View
+	changedAt  time.Duration // of the view
+	workspaces map[string]tables.Workspace
+	buckets    map[string]*bucket
+	share      float64
+	nextShare  float64 // larger one that takes effect at shareAt
+	shareAt    time.Duration
+	resetAt    time.Duration // end of the last pause; valid if wasReset is set
+	wasReset   bool
+	version    uint64 // of the tables
+	releases   []Outgoing
+	received   map[string]receivedRelease // by workspace; only those that arrived before this node knew that it is the owner
+	Stats      OwnerStats
+}
+
+type receivedRelease struct {
+	Release
+	at time.Duration
+}
+
+// bucket is the token bucket of an owned workspace.
+type bucket struct {
+	plan     plan
+	level    float64
+	filledAt time.Duration
+	heldTo   time.Duration // grants nothing before
+	granted  []lot         // for calls that wait, and passed on by an earlier owner; by expiry
+	holders  map[Peer]*holder
+	out      float64 // tokens of granted and holders, which nodes may still use
+	demand   int64   // sum of the holders' demands, in thousandths of a request per second: a sum that depends on no order
+	prunedAt time.Duration
+}
+
+type lot struct {
+	expires time.Duration
+	tokens  float64
+}
+
+// holder is a node that asked for tokens of a workspace.
+type holder struct {
+	seq     uint64  // of its latest request
+	tokens  float64 // granted ahead that may be unused until expires
+	expires time.Duration
+	demand  int64 // thousandths of a request per second
+	at      time.Duration
+}
+
+// NewOwner returns an owner that owns nothing yet.
+func NewOwner(limits Limits) *Owner {
+	return &Owner{limits: limits, workspaces: map[string]tables.Workspace{}, buckets: map[string]*bucket{}, received: map[string]receivedRelease{}}
+}
+
+// SetWorkspaces sets the workspaces with a quota of a version of the tables. A changed quota takes effect at once.
+func (o *Owner) SetWorkspaces(now time.Duration, version uint64, workspaces []tables.Workspace) {
+	o.version = version
+	o.workspaces = map[string]tables.Workspace{}
+	for _, w := range workspaces {
+		o.workspaces[w.Name] = w
+		if b := o.buckets[w.Name]; b != nil {
+			o.fill(now, b)
+			b.plan = newPlan(w, o.limits)
+			o.fill(now, b)
+		}
+	}
+	o.updateBuckets(now)
+}
+
+// SetView sets the members that are known. It returns the workspaces that this node begins to own, sorted.
+func (o *Owner) SetView(now time.Duration, view View) []string {
+	o.fillAll(now)
+	o.view, o.changedAt = view, now
+	if share := view.share(); share <= o.share {
+		o.share, o.nextShare = share, share
+	} else if share != o.nextShare {
+		if share > o.nextShare {
+			o.shareAt = now + takeOverDelay
+		}
+		o.nextShare = share
+	}
+	o.fillAll(now)
+	return o.updateBuckets(now)
+}
+
+// Reset empties all buckets and holds them, after a pause of the process in which another node may have taken over.
+func (o *Owner) Reset(now time.Duration) {
+	o.resetAt, o.wasReset = now, true
+	clear(o.received)
+	for _, b := range o.buckets {
+		b.level, b.filledAt, b.heldTo = 0, now, now+takeOverDelay
+		b.granted, b.out, b.demand, b.holders = nil, 0, 0, map[Peer]*holder{}
+	}
+}
+
+// updateBuckets adds an empty bucket for each workspace that this node owns now, and removes the others.
+func (o *Owner) updateBuckets(now time.Duration) []string {
+	for _, name := range slices.Sorted(maps.Keys(o.buckets)) {
+		if _, ok := o.workspaces[name]; !ok || !o.owns(name) {
+			o.release(now, name)
+			delete(o.buckets, name)
+		}
+	}
+	var gained []string
+	for name, w := range o.workspaces {
+		if o.buckets[name] == nil && o.owns(name) {
+			b := &bucket{plan: newPlan(w, o.limits), filledAt: now, holders: map[Peer]*holder{}}
+			if len(o.view.Known) > 1 {
+				b.heldTo = o.changedAt + takeOverDelay
+			}
+			o.buckets[name] = b
+			gained = append(gained, name)
+			if r, ok := o.received[name]; ok && now-r.at < releaseRetention {
+				o.takeOver(now, b, r.Release)
+			}
+			delete(o.received, name)
+		}
+	}
+	slices.Sort(gained)
+	return gained
+}
+
+// release passes a bucket on to the new owner of its workspace.
+func (o *Owner) release(now time.Duration, name string) {
+	b := o.buckets[name]
+	owner, ok := o.view.ownerOf(name)
+	if _, exists := o.workspaces[name]; !exists || !ok || now < b.heldTo {
+		return
+	}
+	o.fill(now, b)
+	release := Release{Workspace: name, Level: b.level, Out: b.out}
+	for i := range o.releases {
+		if o.releases[i].To == owner {
+			o.releases[i].Releases = append(o.releases[i].Releases, release)
+			return
+		}
+	}
+	o.releases = append(o.releases, Outgoing{To: owner, Releases: []Release{release}})
+}
+
+// TakeReleases returns the messages about passed buckets since the last call.
+func (o *Owner) TakeReleases() []Outgoing {
+	releases := o.releases
+	o.releases = nil
+	return releases
+}
+
+// HandleReleases takes the buckets that an earlier owner passes on, so that this node grants without delay. It ignores
+// messages that may have waited during a pause of the process: their sender may be the owner again.
+func (o *Owner) HandleReleases(now time.Duration, releases []Release) {
+	if o.wasReset && now-o.resetAt < resumeMargin {
+		return
+	}
+	for _, r := range releases {
+		if b := o.buckets[r.Workspace]; b != nil {
+			o.takeOver(now, b, r)
+		} else if _, ok := o.workspaces[r.Workspace]; ok {
+			o.received[r.Workspace] = receivedRelease{r, now}
+		}
+	}
+}
+
+func (o *Owner) takeOver(now time.Duration, b *bucket, r Release) {
+	if now >= b.heldTo {
+		return
+	}
+	b.heldTo, b.filledAt = now, now
+	b.level = max(min(r.Level, b.plan.capacity), 0)
+	b.out = max(min(r.Out, b.plan.capacity), 0)
+	b.granted = []lot{{now + validity, b.out}}
+	o.fill(now, b)
+}
+
+func (o *Owner) owns(workspace string) bool {
+	owner, ok := o.view.ownerOf(workspace)
+	return ok && owner == o.view.Self
+}
+
+func (o *Owner) fillAll(now time.Duration) {
+	for _, b := range o.buckets {
+		o.fill(now, b)
+	}
+}
+
+// fill adds the tokens of the time since the last call. Tokens that nodes may still use count against the capacity.
+func (o *Owner) fill(now time.Duration, b *bucket) {
+	b.expire(now)
+	if from := max(b.filledAt, b.heldTo); now > from {
+		b.level += (now - from).Seconds() * b.plan.rate * o.currentShare(now)
+	}
+	b.filledAt = now
+	b.level = max(min(b.level, b.plan.capacity*o.share-b.out), 0)
+}
+
+// currentShare returns the share of the rate that may be granted.
+func (o *Owner) currentShare(now time.Duration) float64 {
+	if o.nextShare > o.share && now >= o.shareAt {
+		o.share = o.nextShare
+	}
+	return o.share
+}
+
+// Handle answers a request of a node.
+func (o *Owner) Handle(now time.Duration, from Peer, request Request) Grant {
+	o.Stats.Requests++
+	grant := Grant{Seq: request.Seq, Version: o.version, Tokens: make([]Tokens, 0, len(request.Asks))}
+	for _, ask := range request.Asks {
+		grant.Tokens = append(grant.Tokens, o.answer(now, from, request.Seq, ask))
+	}
+	return grant
+}
+
+func (o *Owner) answer(now time.Duration, from Peer, seq uint64, ask Ask) Tokens {
+	b := o.buckets[ask.Workspace]
+	if b == nil || now < b.heldTo {
+		return Tokens{Workspace: ask.Workspace, NotGranting: true, RetryAfter: notGrantingRetryAfter}
+	}
+	o.fill(now, b)
+	h := b.holderOf(now, from)
+	if h != nil && seq <= h.seq {
+		return Tokens{Workspace: ask.Workspace, RetryAfter: notGrantingRetryAfter} // overtaken by a later request
+	}
+	needed := whole(ask.Needed)
+	out := Tokens{Workspace: ask.Workspace, Quota: b.plan.quota, ValidFor: validity}
+	if h != nil {
+		o.Stats.Returned += b.note(h, seq, ask)
+	}
+	out.Now = min(needed, whole(b.level))
+	b.level -= out.Now
+	b.grantNow(now, out.Now)
+	if h != nil && out.Now == needed {
+		out.Ahead = min(whole(ask.Ahead), whole(b.level-b.plan.capacity*o.share*aheadReserve))
+		b.grantAhead(now, h, out.Ahead)
+	}
+	if out.Now < needed {
+		out.RetryAfter = o.retryAfter(b)
+		o.Stats.Short += needed - out.Now
+	}
+	o.Stats.Granted += out.Now + out.Ahead
+	return out
+}
+
+// holderOf returns the entry of a node, or nil if there are too many.
+func (b *bucket) holderOf(now time.Duration, from Peer) *holder {
+	h := b.holders[from]
+	if h == nil {
+		if len(b.holders) >= maxHolders {
+			return nil
+		}
+		h = &holder{}
+		b.holders[from] = h
+	}
+	h.at = now
+	return h
+}
+
+// note takes over what a node reports of its demand and its tokens, and returns how many it gave back.
+func (b *bucket) note(h *holder, seq uint64, ask Ask) float64 {
+	demand := int64(max(min(ask.Demand, tables.MaxWorkspaceRate), 0) * 1000)
+	b.demand += demand - h.demand
+	h.demand, h.seq = demand, seq
+	held := max(min(ask.Held, h.tokens), 0)
+	returned := max(min(ask.Returned, h.tokens-held), 0)
+	b.out -= h.tokens - held
+	b.level += returned
+	h.tokens = held
+	return returned
+}
+
+// grantNow takes tokens for calls that wait.
+func (b *bucket) grantNow(now time.Duration, tokens float64) {
+	if tokens == 0 {
+		return
+	}
+	b.out += tokens
+	expires := now - now%stampInterval + stampInterval + immediateValidity
+	last := len(b.granted) - 1
+	switch {
+	case last >= 0 && b.granted[last].expires == expires:
+		b.granted[last].tokens += tokens
+	case last >= 0 && b.granted[last].expires > expires: // passed on by an earlier owner
+		b.granted = slices.Insert(b.granted, last, lot{expires, tokens})
+	default:
+		b.granted = append(b.granted, lot{expires, tokens})
+	}
+}
+
+// grantAhead takes tokens for expected calls of a node.
+func (b *bucket) grantAhead(now time.Duration, h *holder, tokens float64) {
+	if tokens == 0 {
+		return
+	}
+	b.level -= tokens
+	b.out += tokens
+	h.tokens += tokens
+	h.expires = now + validity
+}
+
+// expire forgets tokens that nodes can no longer use, and nodes that have not asked for long.
+func (b *bucket) expire(now time.Duration) {
+	for len(b.granted) > 0 && b.granted[0].expires <= now {
+		b.out -= b.granted[0].tokens
+		b.granted = b.granted[1:]
+	}
+	if now-b.prunedAt < stampInterval {
+		return
+	}
+	b.prunedAt = now
+	for peer, h := range b.holders {
+		if h.expires <= now {
+			b.out -= h.tokens
+			h.tokens = 0
+		}
+		if now-h.at >= demandRetention {
+			b.demand -= h.demand
+			delete(b.holders, peer)
+		}
+	}
+}
+
+// retryAfter returns when the bucket has a token again. When the workspace exceeds its quota, the nodes wait longer, so
+// that each of their requests gets several tokens.
+func (o *Owner) retryAfter(b *bucket) time.Duration {
+	rate := b.plan.rate * o.share
+	if rate <= 0 {
+		return maxRetryAfter
+	}
+	wait := time.Duration(max(1-b.level, 0) / rate * float64(time.Second))
+	if float64(b.demand)/1000 > rate {
+		wait = max(wait, overloadRetryAfter)
+	}
+	return min(max(wait, time.Millisecond), maxRetryAfter)
+}
+
+// Owned returns the number of workspaces that this node owns.
+func (o *Owner) Owned() int { return len(o.buckets) }
--- /dev/null
+++ b/reducer/quota/plan.go
@@ -0,0 +1,133 @@
+// Package quota limits the requests of each workspace at all nodes together. Each workspace has an owner among the nodes,
+// which keeps its token bucket and grants tokens ahead of their use. Node is the side of the node at which calls enter,
+// Owner the side that grants. Both are pure: times come in, decisions and messages come out.
+package quota
+
+import (
+	"math"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/tables"
+)
+
+const (
+	// maxWait is how long a call may wait for a token.
+	maxWait = 100 * time.Millisecond
+	// arrivalMargin is the longest time from the sending of a request by its caller to the use of its token: maxWait and
+	// the way to the node. The bound counts requests by the time at which they were sent.
+	arrivalMargin = maxWait + 50*time.Millisecond
+	// ownerExtra is the part of the permitted overage that owners grant. The rest is the allowance of nodes that get no
+	// answer of an owner.
+	ownerExtra = 0.5
+	// validity of tokens that are granted ahead. It is shorter than takeOverDelay: all tokens of an earlier owner have expired
+	// when the next one begins.
+	validity = 2500 * time.Millisecond
+	// immediateValidity is the validity of tokens for calls that wait. They are used when they arrive.
+	immediateValidity = maxWait + 50*time.Millisecond
+	// minFillTime is the shortest time in which the rate fills a bucket. Tokens for calls that wait count against the
+	// capacity for half of it, so that a smaller bucket would slow the granting below the rate.
+	minFillTime = 400 * time.Millisecond
+)
+
+// Limits says how exactly quotas are kept: in any Window at most (rate x Window + burst) x (1 + Overage) + Slack requests.
+type Limits struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
+// plan is how the quota of a workspace is divided between its owner and the allowances of the nodes.
+type plan struct {
+	rate      float64 // tokens per second that the owner's bucket gains
+	capacity  float64 // tokens that the owner's bucket and the nodes may hold together
+	allowance int     // requests per window of all nodes together without an owner
+	quota     float64 // requests per window, without overage
+}
+
+// newPlan divides a quota so that in any window the requests that use an owner's tokens, which are at most capacity +
+// rate x (window + arrivalMargin), and the allowances stay within the limits together.
+func newPlan(w tables.Workspace, l Limits) plan {
+	extra := l.Overage*(w.Rate*l.Window.Seconds()+w.Burst) + l.Slack
+	credit := w.Burst + extra*ownerExtra
+	// One request is the least that a quota may allow: smaller sums of rate and burst are rounded up.
+	capacity := max(credit-w.Rate*arrivalMargin.Seconds(), w.Rate*minFillTime.Seconds(), 1)
+	rate := min(w.Rate, (w.Rate*l.Window.Seconds()+credit-capacity)/(l.Window+arrivalMargin).Seconds())
+	return plan{
+		rate: max(rate, 0), capacity: capacity,
+		allowance: int(extra * (1 - ownerExtra)), quota: w.Rate*l.Window.Seconds() + w.Burst,
+	}
+}
+
+// Peer is one incarnation of a node.
+type Peer struct {
+	Node        string
+	Incarnation uint64
+}
+
+// View is what a node knows of the members.
+type View struct {
+	Self  Peer
+	Live  []Peer   // that may own quotas
+	Alive int      // members that are heard
+	Known []string // members that have not left, whether they are heard or not
+	// Alone is set while the node may be cut off from others that it has not heard of. It then owns nothing.
+	Alone bool
+}
+
+// ownerOf returns the owner of a workspace's quota: the first live member by rendezvous hashing.
+func (v *View) ownerOf(workspace string) (Peer, bool) {
+	var owner Peer
+	var best uint64
+	for _, peer := range v.Live {
+		if score := score(workspace, peer.Node); owner.Node == "" || score > best {
+			owner, best = peer, score
+		}
+	}
+	return owner, owner.Node != "" && !v.Alone
+}
+
+// allowanceOf returns how many requests of a workspace the node may admit in a window without an owner. If there are fewer
+// than members, the first ones by rendezvous hashing have one each.
+func (v *View) allowanceOf(workspace string, all int) int {
+	known := len(v.Known)
+	if known == 0 || v.Alone {
+		return 0
+	}
+	if all >= known {
+		return all / known
+	}
+	rank, own := 0, score(workspace, v.Self.Node)
+	for _, node := range v.Known {
+		if node != v.Self.Node && score(workspace, node) > own {
+			rank++
+		}
+	}
+	if rank < all {
+		return 1
+	}
+	return 0
+}
+
+// share returns the part of the rate that an owner may grant: that of the members that it hears among all known.
+func (v *View) share() float64 {
+	if v.Alone || len(v.Known) == 0 {
+		return 0
+	}
+	return min(float64(v.Alive)/float64(len(v.Known)), 1)
+}
+
+// score is the rendezvous hash of a workspace and a node: FNV-1a with a final mix, as names differ in their last bytes.
+func score(workspace, node string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range [...]string{workspace, "\x00", node} {
+		for i := 0; i < len(s); i++ {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// whole returns the whole tokens in x, with a margin for rounding.
+func whole(x float64) float64 { return max(math.Floor(x+1e-9), 0) }
