reducer, runner, node: quotas of workspaces over all nodes

Cause: workspaces have a rate and a burst in the tables, and no node limited their requests.

A call of a limited workspace waits in the phase ingressAwaitingQuota before its body is read. QuotaRequest and QuotaGrant carry the requests of reducer/quota on control connections. Owners pass their buckets on when members join or leave as planned. Limits come from [quotas]. Refusals have reason quota_exceeded and the time until a token is expected; a workspace is logged once in 10 s.

--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -78,7 +78,7 @@
 			g.onAcknowledged()
 			delete(n.traffic, e.Exchange)
 		}
-	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus:
+	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus, reducer.QuotaStats:
 		// These effects are not visible to other nodes or callers.
 	default:
 		if !n.world.Store.perform(n, effect) {
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -197,6 +197,7 @@
 	n.State = reducer.New(reducer.Config{
 		Self: n.ID, Zone: n.Zone, Address: address(n.ID), Operator: address(n.ID), Incarnation: n.incarnation,
 		Seeds: seeds, Discover: true, Limits: reducer.DefaultLimits(), Tunables: tunables(),
+		Quotas: QuotaLimits,
 	})
 	n.post(0, reducer.TimerDue{})
 	n.scheduleRegistration(0)
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/platform"
 	"github.com/rosemaryhatch/rosemaryhatch/platform/hosted"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/quota"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/control"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
@@ -106,6 +107,7 @@
 		Self: reducer.NodeID(s.Node.ID), Zone: s.Node.Zone, Address: s.Listen.PeerAddress(), Operator: s.Listen.Operator,
 		Incarnation: incarnation, Seeds: s.Peers.Seeds, Discover: true, Limits: limits,
 		Tunables: tunables(s),
+		Quotas:   quota.Limits{Window: s.Quotas.Window, Overage: s.Quotas.Overage, Slack: float64(s.Quotas.Slack)},
 	}
 }
 
--- a/reducer/config.go
+++ b/reducer/config.go
@@ -227,6 +227,7 @@
 	s.config.active = c.snapshot
 	s.config.activeSince = s.now
 	s.resetSplits()
+	s.applyQuotas()
 	s.config.lastDelta = delta
 	s.log(LevelInfo, "configuration active", Field{"version", c.id.Number}, Field{"hash", c.id.Hash})
 	s.logUnsupportedRoutes()
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -24,7 +24,8 @@
 type ingressPhase uint8
 
 const (
-	ingressReadingBody ingressPhase = iota + 1
+	ingressReadingBody   ingressPhase = iota + 1
+	ingressAwaitingQuota              // waits for a token of its workspace
 	ingressBackoff
 	ingressForwarded
 	ingressLocal           // an attempt at the backend server beside this node
@@ -56,7 +57,9 @@
 	parent    CallID // the call that it was made on behalf of; zero when not known
 	// overloadRetryConsidered is set once the one retry after an overload refusal was considered.
 	overloadRetryConsidered bool
-	reservedBytes           int64 // bytes counted against Limits.MaxBodyBytes
+	quotaRetryAfter         time.Duration // for ReasonQuotaExceeded
+	hasBody                 bool          // the request has a body, which may be empty if its length is not known
+	reservedBytes           int64         // bytes counted against Limits.MaxBodyBytes
 	arrivedAt               time.Duration
 	sentAt                  time.Duration // start of the current attempt
 	expectedDuration        time.Duration // estimated duration of the current attempt; idempotent calls only
@@ -112,12 +115,17 @@
 	}
 	s.addRetryTokens()
 	s.timers.set(timerKey{kind: timerIngressDeadline, call: call.handle}, call.deadline)
-	if in.BodyBytes == 0 {
+	s.admitByQuota(call)
+}
+
+// startIngressCall begins an admitted call: its body is read first if it has one.
+func (s *State) startIngressCall(call *ingressCall) {
+	if !call.hasBody {
 		s.dispatch(call)
 		return
 	}
 	s.setPhase(call, ingressReadingBody)
-	s.emit(ReadBody{Call: call.handle, Limit: route.MaxBodyBytes})
+	s.emit(ReadBody{Call: call.handle, Limit: call.route.MaxBodyBytes})
 }
 
 // admitArrival returns the route of a new call, with its pool and its priority selected, and its workspace, or the reason to
@@ -213,6 +221,7 @@
 		workspace:     workspace,
 		retries:       allowedRetries(in, route.Retries),
 		parent:        in.Parent,
+		hasBody:       in.BodyBytes != 0,
 		reservedBytes: bytesToReserve(in.BodyBytes, &route),
 		arrivedAt:     s.now,
 		deadline:      s.now + timeout,
@@ -514,6 +523,7 @@
 
 // finish removes a call whose attempts have ended.
 func (s *State) finish(call *ingressCall, outcome Outcome, reason Reason) {
+	s.forgetQuotaWait(call)
 	s.setPhase(call, ingressFinished)
 	s.ingress.reservedBytes -= call.reservedBytes
 	delete(s.ingress.calls, call.handle)
--- a/reducer/members.go
+++ b/reducer/members.go
@@ -362,6 +362,7 @@
 	before := s.members.table[member.Node]
 	s.members.put(member)
 	s.members.changedAt = s.now
+	s.noteQuotaMember(before, member)
 	s.noteMemberChange(before, member, at)
 }
 
@@ -395,5 +396,9 @@
 		s.handleConfigUpdate(in.From, message)
 	case ConfigFetch:
 		s.handleConfigFetch(in.From, message)
+	case QuotaRequest:
+		s.handleQuotaRequest(in.From, message)
+	case QuotaGrant:
+		s.handleQuotaGrant(in.From, message)
 	}
 }
--- a/reducer/members_detector.go
+++ b/reducer/members_detector.go
@@ -76,6 +76,7 @@
 		return
 	}
 	s.notePause()
+	s.resetQuotas()
 	for _, l := range s.members.overlay.links {
 		l.heard = s.now
 	}
--- a/reducer/message_quota.go
+++ b/reducer/message_quota.go
@@ -1,33 +1,24 @@
 package reducer
 
-import "time"
+import "github.com/rosemaryhatch/rosemaryhatch/reducer/quota"
 
-// QuotaRequest asks the owner of the quotas of some workspaces for tokens, one of which allows one request.
+// QuotaRequest asks the owner of the quotas of some workspaces for tokens, one of which allows one request, or passes the
+// buckets of workspaces to their new owner.
 type QuotaRequest struct {
-	Asks []QuotaAsk
+	quota.Request
+	Releases []quota.Release
 }
 
-// QuotaAsk is what a node asks of one workspace's quota.
-type QuotaAsk struct {
-	Workspace string
-	Wanted    float64 // tokens beyond those held
-	Returned  float64 // unused tokens of earlier grants that the node gives back
-	Demand    float64 // requests per second at this node, averaged over about a second
-}
-
-// QuotaGrant answers a QuotaRequest.
-type QuotaGrant struct {
-	Grants []QuotaTokens
-}
+// QuotaGrant answers a QuotaRequest that asks for tokens.
+type QuotaGrant struct{ quota.Grant }
 
-// QuotaTokens is what an owner grants of one workspace's quota.
-type QuotaTokens struct {
-	Workspace string
-	Tokens    float64
-	ValidFor  time.Duration // from the time at which the request was sent, by the clock of the node that asked
-	// RetryAfter is set with fewer tokens than were wanted: the time until the quota has a token for this node again.
-	RetryAfter time.Duration
+// QuotaStats reports to the metrics what both sides of the quotas have counted since the start.
+type QuotaStats struct {
+	Node  quota.NodeStats
+	Owner quota.OwnerStats
+	Owned int // workspaces whose quota this node owns
 }
 
 func (QuotaRequest) message() {}
 func (QuotaGrant) message()   {}
+func (QuotaStats) effect()    {}
--- a/reducer/quota/cluster_test.go
+++ b/reducer/quota/cluster_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
@@ -223,13 +222,11 @@
 		}
 	}
 	view.Alone = len(view.Known) == 1 && len(in.c.nodes) > 1
-	old := in.node.view
-	if slices.Equal(old.Live, view.Live) && slices.Equal(old.Known, view.Known) && old.Alone == view.Alone {
-		return
+	view.ChangedAt = in.clock()
+	if in.node.SetView(view) {
+		in.owner.SetView(in.clock(), view)
+		in.flush()
 	}
-	in.node.SetView(view)
-	in.owner.SetView(in.clock(), view)
-	in.flush()
 }
 
 // flush carries out what the node and the owner decided.
--- a/reducer/quota/node.go
+++ b/reducer/quota/node.go
@@ -28,6 +28,8 @@
 	// aheadRequests is the greatest number of requests for tokens ahead within their validity. An owner whose bucket is low
 	// grants none.
 	aheadRequests = 4
+	// reportInterval is the interval of the reports of a workspace's refused calls.
+	reportInterval = 10 * time.Second
 	// retryAfterUnowned is the Retry-After of calls that are refused while no owner grants.
 	retryAfterUnowned = time.Second
 )
@@ -57,6 +59,16 @@
 	Releases []Release
 }
 
+// Report tells of refused calls of a workspace. There is one in reportInterval.
+type Report struct {
+	Workspace  string
+	Refused    int // calls since the last report
+	Demand     float64
+	Quota      float64 // requests per window
+	Unowned    bool    // no owner granted tokens
+	RetryAfter time.Duration
+}
+
 // NodeStats counts what a node decided.
 type NodeStats struct {
 	Admitted, Refused, Waited, ByAllowance float64 // calls
@@ -76,6 +88,7 @@
 	seq        uint64
 	decisions  []Decision
 	outgoing   []Outgoing
+	reports    []Report
 	Stats      NodeStats
 }
 
@@ -96,13 +109,17 @@
 	demand   float64 // requests per second, at demandAt
 	demandAt time.Duration
 	shortTo  time.Duration // the owner has no token for this node before
-	idleTo   time.Duration // the owner grants nothing before
+	idleTo   time.Duration // the owner grants nothing, and is not asked before
+	grantsAt time.Duration // when the owner expects to grant
 	aheadTo  time.Duration // the owner has no tokens ahead of calls before
 	// askedAhead is the number of tokens ahead that the latest request asked for.
 	askedAhead float64
 	asked      bool // the open request to the owner asks for this workspace
 	wantsNow   bool // a request is due
 
+	refused  int           // calls since the last report
+	reportAt time.Duration // when the next report may follow
+
 	used []time.Duration // uses of the allowance within the last window
 }
 
@@ -156,7 +173,7 @@
 			return false
 		}
 		for _, w := range a.waits {
-			n.decide(now, w, Admitted, 0)
+			n.admit(now, w)
 		}
 		a.waits = nil
 		return true
@@ -164,8 +181,11 @@
 	n.workspaces = next
 }
 
-// SetView sets the members that are known.
-func (n *Node) SetView(view View) {
+// SetView sets the members that are known, and reports whether they have changed.
+func (n *Node) SetView(view View) bool {
+	if old := &n.view; slices.Equal(old.Live, view.Live) && slices.Equal(old.Known, view.Known) && old.Alive == view.Alive && old.Alone == view.Alone {
+		return false
+	}
 	n.view = view
 	for peer, link := range n.owners {
 		if !slices.Contains(view.Live, peer) {
@@ -176,6 +196,7 @@
 	for _, a := range n.workspaces {
 		n.updateOwner(a)
 	}
+	return true
 }
 
 func (n *Node) updateOwner(a *account) {
@@ -208,7 +229,7 @@
 		return Decision{Call: call, Result: Admitted}
 	}
 	if a.shortTo > now+maxWait {
-		n.Stats.Refused++
+		n.noteRefusal(now, a, a.shortTo-now, false)
 		return Decision{Call: call, Result: Refused, RetryAfter: a.shortTo - now}
 	}
 	if n.isUnserved(now, a) {
@@ -233,6 +254,9 @@
 // useAllowance admits a call without an owner's token, or refuses it.
 func (n *Node) useAllowance(now time.Duration, a *account, w waiting) Decision {
 	d := Decision{Call: w.call, Result: Refused, RetryAfter: retryAfterUnowned, Wait: now - w.since}
+	if a.grantsAt > now {
+		d.RetryAfter = a.grantsAt - now
+	}
 	window := n.limits.Window + arrivalMargin
 	a.used = slices.DeleteFunc(a.used, func(at time.Duration) bool { return now-at > window })
 	// The uses of an earlier incarnation of this node are not known.
@@ -243,10 +267,30 @@
 		n.Stats.ByAllowance++
 		return d
 	}
-	n.Stats.Refused++
+	n.noteRefusal(now, a, d.RetryAfter, true)
 	return d
 }
 
+// noteRefusal counts a refused call, and reports it if there was no report of its workspace recently.
+func (n *Node) noteRefusal(now time.Duration, a *account, retryAfter time.Duration, unowned bool) {
+	n.Stats.Refused++
+	a.refused++
+	if now < a.reportAt {
+		return
+	}
+	n.reports = append(n.reports, Report{
+		Workspace: a.name, Refused: a.refused, Demand: a.demandNow(now), Quota: a.plan.quota, Unowned: unowned, RetryAfter: retryAfter,
+	})
+	a.refused, a.reportAt = 0, now+reportInterval
+}
+
+// TakeReports returns the reports since the last call.
+func (n *Node) TakeReports() []Report {
+	reports := n.reports
+	n.reports = nil
+	return reports
+}
+
 // Forget removes a call that no longer waits for a decision.
 func (n *Node) Forget(workspace string, call uint64) {
 	if a := n.workspaces[workspace]; a != nil {
@@ -283,7 +327,8 @@
 	a.shortTo, a.idleTo, a.aheadTo = 0, 0, 0
 	switch {
 	case t.NotGranting:
-		a.idleTo = now + max(min(t.RetryAfter, maxRetryAfter), requestInterval)
+		a.grantsAt = now + min(t.RetryAfter, maxRetryAfter)
+		a.idleTo = now + max(min(t.RetryAfter, silentInterval), requestInterval)
 	case t.RetryAfter > 0:
 		a.shortTo = now + min(t.RetryAfter, maxRetryAfter)
 	}
@@ -298,9 +343,9 @@
 	for _, w := range a.waits {
 		switch {
 		case a.take():
-			n.decide(now, w, Admitted, 0)
+			n.admit(now, w)
 		case now < a.shortTo && a.shortTo >= w.since+maxWait:
-			n.decide(now, w, Refused, a.shortTo-now)
+			n.refuse(now, a, w, a.shortTo-now)
 		case n.isUnserved(now, a):
 			n.decisions = append(n.decisions, n.useAllowance(now, a, w))
 			n.Stats.Waited++
@@ -309,7 +354,7 @@
 			n.decisions = append(n.decisions, n.useAllowance(now, a, w))
 			n.Stats.Waited++
 		case now >= w.since+maxWait:
-			n.decide(now, w, Refused, max(a.shortTo-now, requestInterval))
+			n.refuse(now, a, w, max(a.shortTo-now, requestInterval))
 		default:
 			left = append(left, w)
 		}
@@ -319,14 +364,18 @@
 	n.ask(now, a)
 }
 
-func (n *Node) decide(now time.Duration, w waiting, result Result, retryAfter time.Duration) {
-	n.decisions = append(n.decisions, Decision{Call: w.call, Result: result, RetryAfter: retryAfter, Wait: now - w.since})
+// admit lets a call go on that has waited.
+func (n *Node) admit(now time.Duration, w waiting) {
+	n.decisions = append(n.decisions, Decision{Call: w.call, Result: Admitted, Wait: now - w.since})
 	n.Stats.Waited++
-	if result == Admitted {
-		n.Stats.Admitted++
-	} else {
-		n.Stats.Refused++
-	}
+	n.Stats.Admitted++
+}
+
+// refuse ends a call that has waited: the owner has no token for it.
+func (n *Node) refuse(now time.Duration, a *account, w waiting, retryAfter time.Duration) {
+	n.decisions = append(n.decisions, Decision{Call: w.call, Result: Refused, RetryAfter: retryAfter, Wait: now - w.since})
+	n.Stats.Waited++
+	n.noteRefusal(now, a, retryAfter, false)
 }
 
 // Take returns the decisions and the requests since the last call.
--- a/reducer/quota/owner.go
+++ b/reducer/quota/owner.go
@@ -21,7 +21,7 @@
 	// nodes it means 225 requests a second to the owner of one.
 	overloadRetryAfter = 400 * time.Millisecond
 	maxRetryAfter      = 5 * time.Second
-	// notGrantingRetryAfter is how soon a node asks again while the owner does not grant.
+	// notGrantingRetryAfter is the Retry-After of a node that does not own the quota.
 	notGrantingRetryAfter = 250 * time.Millisecond
 	// aheadReserve is the part of the bucket that is kept for calls that wait, and not granted ahead.
 	aheadReserve = 0.25
@@ -42,7 +42,6 @@
 type Owner struct {
 	limits     Limits
 	view       View
-	changedAt  time.Duration // of the view
 	workspaces map[string]tables.Workspace
 	buckets    map[string]*bucket
 	share      float64
@@ -111,12 +110,12 @@
 // SetView sets the members that are known. It returns the workspaces that this node begins to own, sorted.
 func (o *Owner) SetView(now time.Duration, view View) []string {
 	o.fillAll(now)
-	o.view, o.changedAt = view, now
+	o.view = view
 	if share := view.share(); share <= o.share {
 		o.share, o.nextShare = share, share
 	} else if share != o.nextShare {
 		if share > o.nextShare {
-			o.shareAt = now + takeOverDelay
+			o.shareAt = view.ChangedAt + takeOverDelay
 		}
 		o.nextShare = share
 	}
@@ -147,7 +146,7 @@
 		if o.buckets[name] == nil && o.owns(name) {
 			b := &bucket{plan: newPlan(w, o.limits), filledAt: now, holders: map[Peer]*holder{}}
 			if len(o.view.Known) > 1 {
-				b.heldTo = o.changedAt + takeOverDelay
+				b.heldTo = o.view.ChangedAt + takeOverDelay
 			}
 			o.buckets[name] = b
 			gained = append(gained, name)
@@ -253,9 +252,12 @@
 
 func (o *Owner) answer(now time.Duration, from Peer, seq uint64, ask Ask) Tokens {
 	b := o.buckets[ask.Workspace]
-	if b == nil || now < b.heldTo {
+	if b == nil {
 		return Tokens{Workspace: ask.Workspace, NotGranting: true, RetryAfter: notGrantingRetryAfter}
 	}
+	if now < b.heldTo {
+		return Tokens{Workspace: ask.Workspace, NotGranting: true, RetryAfter: b.heldTo - now}
+	}
 	o.fill(now, b)
 	h := b.holderOf(now, from)
 	if h != nil && seq <= h.seq {
--- a/reducer/quota/plan.go
+++ b/reducer/quota/plan.go
@@ -70,6 +70,8 @@
 	Live  []Peer   // that may own quotas
 	Alive int      // members that are heard
 	Known []string // members that have not left, whether they are heard or not
+	// ChangedAt is when the members changed last.
+	ChangedAt time.Duration
 	// Alone is set while the node may be cut off from others that it has not heard of. It then owns nothing.
 	Alone bool
 }
--- a/reducer/retry_after.go
+++ b/reducer/retry_after.go
@@ -30,6 +30,9 @@
 // overload refusal that is the time until the upstream with the shortest queue could serve the call in time if it
 // admitted nothing else meanwhile, within minRetryAfter and the limit set by retryAfterDivisor.
 func (s *State) retryAfter(call *ingressCall, outcome Outcome, reason Reason) time.Duration {
+	if reason == ReasonQuotaExceeded {
+		return call.quotaRetryAfter
+	}
 	if outcome != OutcomeNotRun || !isOverloadRefusal(reason) {
 		return fixedRetryAfter(reason)
 	}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/quota"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -46,7 +47,8 @@
 	// Tables is the version that the node starts with, for a program that embeds the state and distributes the tables
 	// itself; nil for a node that receives them from the store or from peers.
 	Tables     *tables.Snapshot
-	Discipline Discipline // order of the queue; measurements and tests set other values than the default
+	Quotas     quota.Limits // how exactly the quotas of workspaces are kept; a Window of 0 is 5 s
+	Discipline Discipline   // order of the queue; measurements and tests set other values than the default
 }
 
 // Tunables are the settings that may change while the process runs.
@@ -83,6 +85,7 @@
 	platform platformState
 
 	registration registrationState
+	quota        quotaState
 }
 
 // New returns the state of a node that has just started. Its first timers fire with the first event.
@@ -96,9 +99,14 @@
 	s.ingress.init()
 	s.target.init()
 	s.owners.init()
+	s.quota.init(cfg.Quotas)
 	s.target.queue.discipline = cfg.Discipline
 	s.timers.set(timerKey{kind: timerHeartbeat}, 0)
 	s.timers.set(timerKey{kind: timerStartupFetch}, 0)
+	if cfg.Tables != nil {
+		s.applyQuotas()
+		s.effects = nil // logs of a version that the program gave
+	}
 	if cfg.Discover {
 		s.timers.set(timerKey{kind: timerAnnounceNode}, 0)
 		s.timers.set(timerKey{kind: timerListNodes}, 0)
@@ -118,6 +126,7 @@
 	s.fireTimers()
 	s.apply(event.Input)
 	s.fireTimers()
+	s.flushQuotas()
 	s.updateWakeUp()
 	return s.effects
 }
@@ -245,6 +254,8 @@
 		s.tryNextJoinAddress()
 	case timerRelay:
 		s.relayPending()
+	case timerQuota:
+		s.runQuotaTimer()
 	default:
 		panic(fmt.Sprintf("reducer: no handler for timer kind %d", key.kind))
 	}
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -30,6 +30,7 @@
 	timerShutdown
 	timerJoin
 	timerRelay
+	timerQuota
 )
 
 // timerKey identifies a timer. Setting a timer again under the same key moves it.
--- a/runner/peer/kind.go
+++ b/runner/peer/kind.go
@@ -27,6 +27,10 @@
 		return "config_update"
 	case control.ConfigFetch != nil:
 		return "config_fetch"
+	case control.QuotaRequest != nil:
+		return "quota_request"
+	case control.QuotaGrant != nil:
+		return "quota_grant"
 	default:
 		return kindOther
 	}
--- a/runner/peer/wire_control.go
+++ b/runner/peer/wire_control.go
@@ -14,6 +14,8 @@
 	MemberDigest *MemberDigest
 	ConfigUpdate *ConfigUpdate
 	ConfigFetch  *ConfigFetch
+	QuotaRequest *QuotaRequest
+	QuotaGrant   *QuotaGrant
 }
 
 // Version is tables.VersionID on the wire.
@@ -72,6 +74,10 @@
 		return &ControlArgs{ConfigUpdate: wireConfigUpdate(m)}
 	case reducer.ConfigFetch:
 		return &ControlArgs{ConfigFetch: &ConfigFetch{Have: wireVersion(m.Have)}}
+	case reducer.QuotaRequest:
+		return &ControlArgs{QuotaRequest: wireQuotaRequest(m)}
+	case reducer.QuotaGrant:
+		return &ControlArgs{QuotaGrant: wireQuotaGrant(m)}
 	default:
 		return nil
 	}
@@ -93,6 +99,10 @@
 		return a.ConfigUpdate.toMessage()
 	case a.ConfigFetch != nil:
 		return reducer.ConfigFetch{Have: a.ConfigFetch.Have.toID()}, nil
+	case a.QuotaRequest != nil:
+		return a.QuotaRequest.toMessage(), nil
+	case a.QuotaGrant != nil:
+		return a.QuotaGrant.toMessage(), nil
 	default:
 		return nil, nil
 	}
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -55,6 +55,7 @@
 	bytes       map[string]metrics.Counter // by class and direction; the map is read-only
 	messages    map[string]messageCounter  // by kind and direction; the map is read-only
 	version     metrics.Gauge
+	quotas      quotaMetrics
 	publishedAt atomic.Int64 // when the active version was published, in Unix nanoseconds; 0 before the first
 }
 
@@ -63,8 +64,8 @@
 
 // controlKinds are the kinds of messages on control connections.
 var controlKinds = []string{
-	"heartbeat", "member_update", "member_repair", "member_digest", "config_update", "config_fetch", "response", "hello",
-	"types", "other",
+	"heartbeat", "member_update", "member_repair", "member_digest", "config_update", "config_fetch", "quota_request", "quota_grant", "response",
+	"hello", "types", "other",
 }
 
 // messageCounter counts the messages of one kind and direction, and their bytes.
@@ -101,6 +102,7 @@
 			}
 		}
 	}
+	m.quotas.register(r)
 	metrics.NewRegisteredFunctionalGauge(familyAge, r, m.versionAgeSeconds)
 	return m
 }
