--- a/reducer/retry_after.go
+++ b/reducer/retry_after.go
@@ -33,6 +33,9 @@
 	if reason == ReasonNestedFailing {
 		return s.withheldRetryAfter(call)
 	}
+	if reason == ReasonQuotaExceeded {
+		return call.quotaRetryAfter
+	}
 	if outcome != OutcomeNotRun || !isOverloadRefusal(reason) {
 		return fixedRetryAfter(reason)
 	}
