reducer, runner, platform: roll-outs of versions by orders in the store

A reader that holds the lease of the decider's key writes state and status in one transaction, nodes pass the state on, draw a version for each attempt and report what the backend server beside them answers. Registrations and member entries carry the version. Off without [rollouts].

--- a/internal/faultmatrix/coverage_test.go
+++ b/internal/faultmatrix/coverage_test.go
@@ -18,6 +18,11 @@
 var inputsWithoutStep = map[string]string{
 	"SettingsChanged": "replaces limits; no step of a call or of a change of the tables waits for it",
 	"StatusRequested": "reads the state and changes nothing",
+
+	"RolloutsRead":     "roll-outs are off in the scenarios; internal/pump/rollout_faults_test.go has their faults",
+	"RolloutsChanged":  "as RolloutsRead",
+	"RolloutLeaseHeld": "as RolloutsRead",
+	"RolloutWritten":   "as RolloutsRead",
 }
 
 // typesWithMethod returns the sorted names of the types in package reducer that have the given marker method, such as
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -78,7 +78,7 @@
 			g.onAcknowledged()
 			delete(n.traffic, e.Exchange)
 		}
-	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus:
+	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus, reducer.RolloutObserved:
 		// These effects are not visible to other nodes or callers.
 	default:
 		if !n.world.Store.perform(n, effect) {
@@ -188,6 +188,9 @@
 	n.world.History.Executions = append(n.world.History.Executions, invariant.Execution{
 		Request: g.request, Node: n.ID, At: n.world.Now,
 	})
+	if n.world.OnExecution != nil {
+		n.world.OnExecution(n)
+	}
 	g.running = true
 	n.Backend.Running++
 	n.Backend.MaxRunning = max(n.Backend.MaxRunning, n.Backend.Running)
@@ -224,7 +227,11 @@
 		n.post(0, reducer.BackendStreamEnded{Call: call})
 		return
 	}
-	n.post(0, reducer.BackendRequestDone{Call: call, Result: result, Status: 200, Bytes: 1, KeptBytes: 1, Elapsed: elapsed})
+	status := 200
+	if n.Backend.FailShare > 0 && n.world.rng.Float64() < n.Backend.FailShare {
+		status = 500
+	}
+	n.post(0, reducer.BackendRequestDone{Call: call, Result: result, Status: status, Bytes: 1, KeptBytes: 1, Elapsed: elapsed})
 }
 
 func (n *Node) answerForward(e reducer.AnswerForward) {
--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -25,8 +25,9 @@
 	revision       uint64
 	waitingWatches []func()
 	leases         map[uint64]*lease
-	deregisteredAt map[string]int64    // by instance of a backend server, in Unix ms
-	lastLease      uint64              // the lease granted last
+	deregisteredAt map[string]int64 // by instance of a backend server, in Unix ms
+	lastLease      uint64           // the lease granted last
+	rollouts       rollouts
 	listedNodes    []reducer.NodeEntry // the previous result of ListNodes
 }
 
@@ -131,7 +132,7 @@
 	case reducer.EndLease:
 		delete(s.leases, e.Lease)
 	default:
-		return false
+		return s.performRollout(n, effect)
 	}
 	return true
 }
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosemaryhatch/rosemaryhatch/internal/invariant"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -43,6 +44,10 @@
 	Store   *Store
 	// OnStep, when set, is called before each event is reduced. It may inject faults.
 	OnStep func(step int, node *Node, input reducer.Input)
+	// Rollouts are the settings of the nodes that are started from now on.
+	Rollouts rollout.Settings
+	// OnExecution, when set, is called when a backend server begins a request.
+	OnExecution func(node *Node)
 	// Trace, when set, is called with each input and its effects.
 	Trace func(node *Node, input reducer.Input, effects []reducer.Effect)
 
@@ -93,6 +98,8 @@
 	MaxRunning   int
 	Shedding     bool // refuses requests without running them
 	Endless      bool // runs requests and answers with a body that does not end
+	Version      string
+	FailShare    float64 // part of the requests that it answers with status 500
 }
 
 // goroutine stands for a traffic goroutine of a node. It holds the data of one call or exchange.
@@ -137,8 +144,13 @@
 
 // AddNode adds a node with a backend server and starts both. With an empty service there is no backend server.
 func (w *World) AddNode(id reducer.NodeID, zone, service string) *Node {
+	return w.AddVersion(id, zone, service, "")
+}
+
+// AddVersion is AddNode with a backend server that states a version.
+func (w *World) AddVersion(id reducer.NodeID, zone, service, version string) *Node {
 	n := &Node{ID: id, Zone: zone, Service: service, world: w}
-	n.Backend = Backend{Up: service != "", Slots: defaultSlots, ServiceTime: ServiceTime}
+	n.Backend = Backend{Up: service != "", Slots: defaultSlots, ServiceTime: ServiceTime, Version: version}
 	w.nodes[id] = n
 	n.Start()
 	return n
@@ -196,7 +208,7 @@
 	}
 	n.State = reducer.New(reducer.Config{
 		Self: n.ID, Zone: n.Zone, Address: address(n.ID), Operator: address(n.ID), Incarnation: n.incarnation,
-		Seeds: seeds, Discover: true, Limits: reducer.DefaultLimits(), Tunables: tunables(),
+		Seeds: seeds, Discover: true, Limits: reducer.DefaultLimits(), Tunables: tunables(), Rollouts: w.Rollouts,
 	})
 	n.post(0, reducer.TimerDue{})
 	n.scheduleRegistration(0)
@@ -224,7 +236,7 @@
 	n.Backend.sequence++
 	return reducer.BackendRegistered{
 		Service: n.Service, Address: "10.0.0.2:" + string(n.ID), Slots: n.Backend.Slots, Draining: n.Backend.Draining,
-		Instance: string(n.ID), Born: n.Backend.born, Sequence: n.Backend.sequence,
+		Instance: string(n.ID), Born: n.Backend.born, Sequence: n.Backend.sequence, Version: n.Backend.Version,
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/platform"
 	"github.com/rosemaryhatch/rosemaryhatch/platform/hosted"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/control"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
@@ -106,6 +107,7 @@
 		Self: reducer.NodeID(s.Node.ID), Zone: s.Node.Zone, Address: s.Listen.PeerAddress(), Operator: s.Listen.Operator,
 		Incarnation: incarnation, Seeds: s.Peers.Seeds, Discover: true, Limits: limits,
 		Tunables: tunables(s),
+		Rollouts: rollout.Settings(s.Rollouts),
 	}
 }
 
@@ -135,10 +137,10 @@
 	self := peer.NewIdentity(s.Node.System, reducer.PeerRef{
 		Node: reducer.NodeID(s.Node.ID), Address: s.Listen.PeerAddress(), Incarnation: incarnation,
 	})
-	front, source := frontend.FrontEnd(frontend.Native{}), platform.OwnSource()
+	front, source, rollouts := frontend.FrontEnd(frontend.Native{}), platform.OwnSource(), platform.OwnRollouts()
 	if s.Platform.Mode == settings.ModeHosted {
 		front = hosted.FrontEnd{Service: s.Backend.Service}
-		source = hosted.Source()
+		source, rollouts = hosted.Source(), hosted.Rollouts()
 	}
 	n.backend = backend.NewRunner(n.responses, front, n.thread, n.mailboxes)
 	n.peerClient = peer.NewClient(self, n.thread.Post, n.metrics)
@@ -151,7 +153,7 @@
 		Control: n.thread, Mailboxes: n.mailboxes, Responses: n.responses, Forwarder: n.peerClient, Backend: n.backend,
 		Front: front, Tracer: n.tracer, Logger: n.logger, Workers: n.workers, OnRefused: n.metrics.CallerRefused,
 	})
-	n.store = store.New(kv, source, n.thread.Post)
+	n.store = store.New(kv, source, rollouts, n.thread.Post)
 	registrations := backend.RegisterHandler(n.thread, n.mailboxes, backend.Expected{
 		Service: s.Backend.Service, Address: s.Backend.Address, Ordered: s.Platform.Mode == settings.ModeHosted,
 	})
--- a/node/perform.go
+++ b/node/perform.go
@@ -42,6 +42,8 @@
 		n.recordFinishedCall(e)
 	case reducer.CallQueued:
 		n.metrics.CallQueued(e)
+	case reducer.RolloutObserved:
+		n.metrics.RolloutObserved(e)
 	case reducer.Log:
 		n.writeLog(e)
 	case reducer.CloseListener:
--- a/reducer/admission.go
+++ b/reducer/admission.go
@@ -21,7 +21,7 @@
 	switch {
 	case s.shutdown.refusesForwardedCalls() && !call.local:
 		return ReasonLeaving
-	case s.backend.state == UpstreamDraining:
+	case s.backend.state == UpstreamDraining, s.isOwnVersionForbidden():
 		return ReasonDraining
 	case s.backend.state != UpstreamReady || !ok || s.isForOtherService(call):
 		return ReasonNoUpstream
--- a/reducer/backend.go
+++ b/reducer/backend.go
@@ -17,6 +17,8 @@
 	instance      string // identifies the incarnation that may run calls
 	declaredSlots int    // slots that it registered with
 	readySince    time.Duration
+	version       string        // of its software; empty if it states none
+	coldUntil     time.Duration // end of the time for which it is slow after its start
 }
 
 func (s *State) expireRegistration() {
@@ -29,11 +31,11 @@
 // longer serves them.
 func (s *State) applyBackendChange(before backendState) {
 	b := &s.backend
-	if before.state == b.state && before.service == b.service && before.declaredSlots == b.declaredSlots {
+	if before.state == b.state && before.service == b.service && before.declaredSlots == b.declaredSlots && before.version == b.version {
 		s.startQueuedCalls()
 		return
 	}
-	s.log(LevelInfo, "backend server changed", Field{"service", b.service}, Field{"state", b.state.String()}, Field{"slots", b.declaredSlots},
+	s.log(LevelInfo, "backend server changed", Field{"service", b.service}, Field{"state", b.state.String()}, Field{"slots", b.declaredSlots}, Field{"software", b.version},
 		Field{"instance", b.instance}, Field{"born", s.registration.incarnation.born}, Field{"sequence", s.registration.sequence})
 	s.updateSelf()
 	if b.state != UpstreamReady || before.service != b.service {
--- a/reducer/choose.go
+++ b/reducer/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 )
 
 // Parameters of load balancing.
@@ -67,6 +69,9 @@
 	subset  []*servingUpstream
 	ranking []Member
 	weights []weightedUpstream
+	// versions holds the versions of the upstreams by service, with serving; permitted is reused like the other lists.
+	versions  map[string][]rollout.Upstream
+	permitted []*servingUpstream
 }
 
 // servingUpstreams returns the serving upstreams of a service, ordered by node. The caller must not modify the slice.
@@ -91,6 +96,7 @@
 		}
 	}
 	s.markSubset(serving)
+	s.noteVersions(service, members)
 	choice.serving[service] = serving
 	return serving
 }
@@ -101,7 +107,7 @@
 	if !ok {
 		return Member{}, ReasonNoRoute
 	}
-	usable := s.usableUpstreams(pool.Service, call.tried)
+	usable := s.drawVersion(pool.Service, s.usableUpstreams(pool.Service, call.tried))
 	if call.overloadRetryConsidered {
 		usable = s.filterFittingUpstreams(usable, call)
 	}
@@ -132,7 +138,7 @@
 // usableUpstreams returns the upstreams of a service that are neither suspect nor ejected nor tried or, if there are
 // none, all that were not tried. The next call overwrites the slice.
 func (s *State) usableUpstreams(service string, tried []NodeID) []*servingUpstream {
-	serving := s.servingUpstreams(service)
+	serving := s.permittedUpstreams(service)
 	usable := s.members.choice.usable[:0]
 	for _, u := range serving {
 		if u.State == MemberAlive {
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -210,6 +211,36 @@
 // ListNodes reads the entries of all nodes from the platform's store. They may be seconds out of date.
 type ListNodes struct{}
 
+// ReadRollouts reads the orders and the stored states of all roll-outs from the platform's store.
+type ReadRollouts struct{}
+
+// WatchRollouts waits for a change of an order in the platform's store after a revision.
+type WatchRollouts struct{ After uint64 }
+
+// HoldRolloutLease renews the lease by which this node decides the roll-out of a service, or acquires one if Lease is 0.
+type HoldRolloutLease struct {
+	Service string
+	Node    NodeID
+	Lease   uint64
+	TTL     time.Duration
+}
+
+// WriteRollout writes the state of a roll-out and its status in one transaction, if the decider's key still has the
+// revision Fence and the state the one it was read with.
+type WriteRollout struct {
+	Rollout rollout.Stored
+	Fence   uint64
+}
+
+// RolloutObserved reports, for metrics, what a decider counts of a roll-out.
+type RolloutObserved struct {
+	Service, Version string
+	State            rollout.State
+	Step             int
+	Share            float64
+	Finding          rollout.Finding
+}
+
 // CheckTables parses and checks a version outside the control thread. The version is given as a document,
 // or as a delta to Base.
 type CheckTables struct {
@@ -318,6 +349,11 @@
 func (StoreDeregistration) effect()  {}
 func (ReadDeregistration) effect()   {}
 func (AcknowledgeBackend) effect()   {}
+func (ReadRollouts) effect()         {}
+func (WatchRollouts) effect()        {}
+func (HoldRolloutLease) effect()     {}
+func (WriteRollout) effect()         {}
+func (RolloutObserved) effect()      {}
 func (CheckTables) effect()          {}
 func (Publish) effect()              {}
 func (Send) effect()                 {}
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -211,10 +212,12 @@
 	Address  string // IP:port
 	Slots    int
 	Draining bool
-	Instance string // identifies the incarnation of the backend server
-	Born     int64  // start of the incarnation in Unix milliseconds, 0 when it is not known
-	Sequence uint64 // increases within an incarnation, 0 when it is not known
-	Exchange Handle // answered by AcknowledgeBackend; 0 when no answer is needed
+	Instance string        // identifies the incarnation of the backend server
+	Born     int64         // start of the incarnation in Unix milliseconds, 0 when it is not known
+	Sequence uint64        // increases within an incarnation, 0 when it is not known
+	Version  string        // of the backend server's software; empty if it states none
+	ColdLeft time.Duration // for which the backend server is slow after its start
+	Exchange Handle        // answered by AcknowledgeBackend; 0 when no answer is needed
 }
 
 // BackendDeregistered reports that the backend server has deregistered. It gets no new calls.
@@ -299,6 +302,35 @@
 	Address string `json:"address"` // IP:port of the peer listener
 }
 
+// RolloutsRead reports the result of a ReadRollouts effect: the orders and the stored states of all roll-outs.
+type RolloutsRead struct {
+	Result   StoreResult
+	Revision uint64 // of the store, after which the next watch starts
+	Orders   []rollout.Order
+	States   []rollout.Stored
+}
+
+// RolloutsChanged reports the end of a WatchRollouts effect: StoreOK if an order may have changed.
+type RolloutsChanged struct {
+	Result   StoreResult
+	Revision uint64
+}
+
+// RolloutLeaseHeld reports the result of a HoldRolloutLease effect: StoreConflict if another node decides.
+type RolloutLeaseHeld struct {
+	Service string
+	Result  StoreResult
+	Lease   uint64
+	Fence   uint64 // revision of the decider's key, which a write expects
+}
+
+// RolloutWritten reports the result of a WriteRollout effect.
+type RolloutWritten struct {
+	Service  string
+	Result   StoreResult
+	Revision uint64 // of the state, after StoreOK
+}
+
 // StoreResult says how a call to the platform's store ended.
 type StoreResult uint8
 
@@ -311,6 +343,7 @@
 	StoreNoLease     // the lease has expired or was ended
 	StoreUnknown     // no answer in time, or an unreadable one
 	StoreMalformed   // the stored value is not a document
+	StoreConflict    // nothing was written: another writer was first
 )
 
 // TablesChecked reports the result of a CheckTables effect.
@@ -378,5 +411,9 @@
 func (TablesChecked) input()        {}
 func (HandOverDone) input()         {}
 func (RecordsArrived) input()       {}
+func (RolloutsRead) input()         {}
+func (RolloutsChanged) input()      {}
+func (RolloutLeaseHeld) input()     {}
+func (RolloutWritten) input()       {}
 func (PeerMessage) input()          {}
 func (PeerSendFailed) input()       {}
--- a/reducer/hedge.go
+++ b/reducer/hedge.go
@@ -43,7 +43,7 @@
 	if !ok {
 		return false
 	}
-	targets := s.filterHedgeTargets(s.usableUpstreams(pool.Service, call.tried), call)
+	targets := s.filterHedgeTargets(s.drawVersion(pool.Service, s.usableUpstreams(pool.Service, call.tried)), call)
 	if len(targets) == 0 || !s.takeRetry(call) {
 		return false
 	}
--- a/reducer/keyowner.go
+++ b/reducer/keyowner.go
@@ -177,7 +177,7 @@
 		lost := s.owners.lost[node]
 		age := s.now - lost.since
 		behindPartition := !call.firstAttempt && !s.isZoneReachable(lost.zone)
-		mayHaveOwned := !longServing || s.hasReturnedWithin(node, horizon) || keyWeight(node, call.route.Name, call.key) >= weight
+		mayHaveOwned := !longServing || s.hasMovedWithin(service, horizon) || s.hasReturnedWithin(node, horizon) || keyWeight(node, call.route.Name, call.key) >= weight
 		if lost.service == service && (behindPartition || age < horizon && mayHaveOwned) {
 			return true
 		}
@@ -266,7 +266,7 @@
 func (s *State) keyRanking(service, route, key string) []Member {
 	choice := &s.members.choice
 	choice.weights, choice.ranking = choice.weights[:0], choice.ranking[:0]
-	for _, u := range s.servingUpstreams(service) {
+	for _, u := range s.upstreamsOfKey(service, hashString(route, "\x00", key)) {
 		choice.weights = append(choice.weights, weightedUpstream{u, keyWeight(u.Node, route, key)})
 	}
 	slices.SortStableFunc(choice.weights, func(a, b weightedUpstream) int { return cmp.Compare(b.weight, a.weight) })
@@ -286,6 +286,9 @@
 // may send the call here after the key has moved.
 func (s *State) ownsKey(call *targetCall) bool {
 	ranking := s.keyRanking(s.backend.service, call.route, call.key)
+	if len(ranking) > 0 && ranking[0].Upstream.Version != s.backend.version {
+		return s.ranksFirstInVersion(call)
+	}
 	return len(ranking) > 0 && ranking[0].Node == s.cfg.Self
 }
 
@@ -297,6 +300,7 @@
 	owner := ranking[0].Node
 	weight := keyWeight(owner, call.route.Name, call.key)
 	former := s.formerOwners(ranking, horizon)
+	otherVersions := s.ownersInOtherVersions(call, service, ranking[0], horizon)
 	var holders []Member
 	for _, m := range s.members.ofService(service) {
 		if m.Node == owner || m.isGone() {
@@ -306,7 +310,7 @@
 		serves := m.serves(service)
 		ranksBefore := !serves && keyWeight(m.Node, call.route.Name, call.key) > weight // a serving one would be the owner
 		idle := !serves && len(former) > 0
-		if ranksBefore || returned || idle || former[m.Node] {
+		if ranksBefore || returned || idle || former[m.Node] || otherVersions[m.Node] {
 			holders = append(holders, m)
 		}
 	}
--- a/reducer/members.go
+++ b/reducer/members.go
@@ -192,7 +192,7 @@
 	self.Sequence++
 	self.State = s.shutdown.ownMemberState()
 	self.RecordsHandedOver = s.shutdown.recordsHandedOver
-	self.Upstream = Upstream{Service: s.backend.service, Slots: s.backend.declaredSlots, State: s.backend.state}
+	self.Upstream = Upstream{Service: s.backend.service, Slots: s.backend.declaredSlots, State: s.backend.state, Version: s.backend.version}
 	s.putMember(self)
 	s.flood(MemberUpdate{Members: []Member{self}})
 }
@@ -395,5 +395,11 @@
 		s.handleConfigUpdate(in.From, message)
 	case ConfigFetch:
 		s.handleConfigFetch(in.From, message)
+	case RolloutUpdates:
+		s.handleRolloutUpdates(in.From, message)
+	case RolloutReport:
+		s.observeRolloutReport(in.From.Node, message.Report)
+	case RolloutFetch:
+		s.handleRolloutFetch(in.From)
 	}
 }
--- a/reducer/members_detector.go
+++ b/reducer/members_detector.go
@@ -70,12 +70,14 @@
 // suspicions, because messages that came during the pause have not been read yet.
 func (s *State) detectPause() {
 	d := &s.members.detector
-	paused := s.now-d.lastEvent > silenceLimit
+	gap := s.now - d.lastEvent
+	paused := gap > silenceLimit
 	d.lastEvent = s.now
 	if !paused {
 		return
 	}
 	s.notePause()
+	s.suspendRollouts(gap)
 	for _, l := range s.members.overlay.links {
 		l.heard = s.now
 	}
@@ -335,6 +337,7 @@
 		l.retryAt = s.now + s.jitter(l.backoff)
 	}
 	if in.Refused {
+		s.noteRefused(in.To)
 		s.noteZoneHeard(member.Zone, s.now)
 		s.suspect(in.To.Node)
 	}
--- a/reducer/message.go
+++ b/reducer/message.go
@@ -57,6 +57,7 @@
 	Service string
 	Slots   int
 	State   UpstreamState
+	Version string // of its software; empty if it states none
 }
 
 // Member is one entry of the member table. Only the node that the entry describes increases Sequence.
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -149,6 +149,7 @@
 	}
 	r.incarnation, r.sequence, r.unconfirmed = incarnation, in.Sequence, nil
 	b.service, b.address, b.declaredSlots, b.instance = in.Service, in.Address, in.Slots, in.Instance
+	b.version, b.coldUntil = in.Version, s.now+in.ColdLeft
 	b.state = UpstreamReady
 	if in.Draining {
 		b.state = UpstreamDraining
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -170,7 +170,7 @@
 	if !ok {
 		return false
 	}
-	usable := s.usableUpstreams(pool.Service, nil)
+	usable := s.majorityVersion(pool.Service, s.usableUpstreams(pool.Service, nil))
 	for _, u := range usable {
 		if u.Node != s.cfg.Self && !u.load.hasFreshReport(s.now, earlyReportMaxAge) {
 			return false
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -46,6 +47,7 @@
 	// Tables is the version that the node starts with, for a program that embeds the state and distributes the tables
 	// itself; nil for a node that receives them from the store or from peers.
 	Tables     *tables.Snapshot
+	Rollouts   rollout.Settings
 	Discipline Discipline // order of the queue; measurements and tests set other values than the default
 }
 
@@ -83,6 +85,7 @@
 	platform platformState
 
 	registration registrationState
+	rollouts     rolloutState
 }
 
 // New returns the state of a node that has just started. Its first timers fire with the first event.
@@ -99,6 +102,7 @@
 	s.target.queue.discipline = cfg.Discipline
 	s.timers.set(timerKey{kind: timerHeartbeat}, 0)
 	s.timers.set(timerKey{kind: timerStartupFetch}, 0)
+	s.initRollouts()
 	if cfg.Discover {
 		s.timers.set(timerKey{kind: timerAnnounceNode}, 0)
 		s.timers.set(timerKey{kind: timerListNodes}, 0)
@@ -176,6 +180,14 @@
 		s.cfg.Tunables = in.Tunables
 	case NodesListed:
 		s.handleNodesListed(in)
+	case RolloutsRead:
+		s.handleRolloutsRead(in)
+	case RolloutsChanged:
+		s.handleRolloutsChanged(in)
+	case RolloutLeaseHeld:
+		s.handleRolloutLeaseHeld(in)
+	case RolloutWritten:
+		s.handleRolloutWritten(in)
 	case TablesChecked:
 		s.handleTablesChecked(in)
 	case HandOverDone:
@@ -245,6 +257,8 @@
 		s.tryNextJoinAddress()
 	case timerRelay:
 		s.relayPending()
+	case timerRollouts:
+		s.advanceRollouts()
 	default:
 		panic(fmt.Sprintf("reducer: no handler for timer kind %d", key.kind))
 	}
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -220,6 +220,7 @@
 	q := &s.target.queue
 	q.advance(s.now, s.slots(), pool)
 	q.accountEnd(call, in, s.slots(), pool)
+	s.countForRollout(call.route, in)
 	switch {
 	case in.Result == BackendAnswered && in.Status < failureStatus:
 		q.service.add(call.route, in.Elapsed, s.now)
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -30,6 +30,7 @@
 	timerShutdown
 	timerJoin
 	timerRelay
+	timerRollouts
 )
 
 // timerKey identifies a timer. Setting a timer again under the same key moves it.
--- a/runner/backend/register.go
+++ b/runner/backend/register.go
@@ -26,8 +26,12 @@
 	maxRegistrationBytes = 4096
 	maxSlots             = 1024
 	maxServiceNameBytes  = 128
+	maxVersionBytes      = 128
 )
 
+// maxColdLeftMs bounds the time for which a backend server counts as slow after its start.
+const maxColdLeftMs = 10 * 60 * 1000
+
 // States of a backend server in a registration.
 const (
 	StateReady    = "ready"
@@ -43,7 +47,8 @@
 	ColdLeftMs int64  `json:"cold_left_ms"` // remaining time in ms for which the backend server is slow after its start
 	// Sequence increases with each registration of an incarnation, so that a delayed one can be recognised.
 	Sequence uint64 `json:"sequence"`
-	Born     int64  `json:"born"` // start of the incarnation in Unix milliseconds; 0 when unknown
+	Born     int64  `json:"born"`              // start of the incarnation in Unix milliseconds; 0 when unknown
+	Version  string `json:"version,omitempty"` // of the backend server's software
 
 	hasSequence bool
 }
@@ -142,6 +147,8 @@
 		return fmt.Errorf("address is %q, expected IP:port", r.Address)
 	case expected.Address != "" && r.Address != expected.Address:
 		return fmt.Errorf("address is %q, expected %q", r.Address, expected.Address)
+	case len(r.Version) > maxVersionBytes:
+		return fmt.Errorf("version is %.*q..., expected at most %d bytes", maxVersionBytes, r.Version, maxVersionBytes)
 	case r.Slots < 1 || r.Slots > maxSlots:
 		return fmt.Errorf("slots is %d, expected 1 to %d", r.Slots, maxSlots)
 	case r.State != StateReady && r.State != StateDraining:
@@ -158,5 +165,6 @@
 	return reducer.BackendRegistered{
 		Service: r.Service, Address: r.Address, Slots: r.Slots, Draining: r.State == StateDraining,
 		Instance: instance, Born: r.Born, Sequence: r.Sequence,
+		Version: r.Version, ColdLeft: time.Duration(min(r.ColdLeftMs, maxColdLeftMs)) * time.Millisecond,
 	}
 }
--- a/runner/peer/kind.go
+++ b/runner/peer/kind.go
@@ -27,6 +27,12 @@
 		return "config_update"
 	case control.ConfigFetch != nil:
 		return "config_fetch"
+	case control.RolloutUpdates != nil:
+		return "rollout_updates"
+	case control.RolloutReport != nil:
+		return "rollout_report"
+	case control.RolloutFetch != nil:
+		return "rollout_fetch"
 	default:
 		return kindOther
 	}
--- a/runner/peer/wire_control.go
+++ b/runner/peer/wire_control.go
@@ -14,6 +14,10 @@
 	MemberDigest *MemberDigest
 	ConfigUpdate *ConfigUpdate
 	ConfigFetch  *ConfigFetch
+
+	RolloutUpdates *RolloutUpdates
+	RolloutReport  *RolloutReport
+	RolloutFetch   *RolloutFetch
 }
 
 // Version is tables.VersionID on the wire.
@@ -73,7 +77,7 @@
 	case reducer.ConfigFetch:
 		return &ControlArgs{ConfigFetch: &ConfigFetch{Have: wireVersion(m.Have)}}
 	default:
-		return nil
+		return wireRollout(message)
 	}
 }
 
@@ -94,6 +98,6 @@
 	case a.ConfigFetch != nil:
 		return reducer.ConfigFetch{Have: a.ConfigFetch.Have.toID()}, nil
 	default:
-		return nil, nil
+		return a.toRolloutMessage(), nil
 	}
 }
--- a/runner/peer/wire_members.go
+++ b/runner/peer/wire_members.go
@@ -23,6 +23,7 @@
 	Upstream    []byte   // State of reducer.Upstream
 	AgeMillis   []int64  // ms since the member died or left
 	Handed      []bool   // reducer.Member.RecordsHandedOver
+	Software    []string // Version of reducer.Upstream; absent from a node of an earlier release, or if no upstream states one
 }
 
 // MemberUpdate is reducer.MemberUpdate on the wire.
@@ -50,6 +51,10 @@
 	t.Upstream = append(t.Upstream, byte(m.Upstream.State))
 	t.AgeMillis = append(t.AgeMillis, m.Age.Milliseconds())
 	t.Handed = append(t.Handed, m.RecordsHandedOver)
+	if m.Upstream.Version != "" || len(t.Software) > 0 {
+		t.Software = append(t.Software, make([]string, len(t.Node)-1-len(t.Software))...)
+		t.Software = append(t.Software, m.Upstream.Version)
+	}
 }
 
 // hasEqualLengths reports whether all slices have the length of Node.
@@ -63,7 +68,15 @@
 			return false
 		}
 	}
-	return true
+	return len(t.Software) == 0 || len(t.Software) == n
+}
+
+// software returns the version of an upstream, or an empty text if none was sent.
+func (t *MemberTable) software(i int) string {
+	if len(t.Software) == 0 {
+		return ""
+	}
+	return t.Software[i]
 }
 
 const (
@@ -82,7 +95,7 @@
 func (t *MemberTable) isValid(i int) bool {
 	state, upstream := reducer.MemberState(t.State[i]), reducer.UpstreamState(t.Upstream[i])
 	switch {
-	case t.Node[i] == "", len(t.Node[i]) > maxNameBytes, len(t.Zone[i]) > maxNameBytes, len(t.Service[i]) > maxNameBytes:
+	case t.Node[i] == "", len(t.Node[i]) > maxNameBytes, len(t.Zone[i]) > maxNameBytes, len(t.Service[i]) > maxNameBytes, len(t.software(i)) > maxNameBytes:
 		return false
 	case state < reducer.MemberAlive, state > reducer.MemberLeft, upstream > reducer.UpstreamDown:
 		return false
@@ -116,7 +129,7 @@
 		out = append(out, reducer.Member{
 			Node: reducer.NodeID(t.Node[i]), Zone: t.Zone[i], Address: t.Address[i], Operator: t.Operator[i],
 			Incarnation: reducer.Incarnation(t.Incarnation[i]), Sequence: t.Sequence[i], State: reducer.MemberState(t.State[i]),
-			Upstream: reducer.Upstream{Service: t.Service[i], Slots: t.Slots[i], State: reducer.UpstreamState(t.Upstream[i])},
+			Upstream: reducer.Upstream{Service: t.Service[i], Slots: t.Slots[i], State: reducer.UpstreamState(t.Upstream[i]), Version: t.software(i)},
 			Age:      time.Duration(t.AgeMillis[i]) * time.Millisecond, RecordsHandedOver: t.Handed[i],
 		})
 	}
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -29,6 +29,7 @@
 type Runner struct {
 	store      platform.Store
 	source     platform.Source
+	rollouts   platform.Rollouts
 	post       func(reducer.Input) bool
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -36,9 +37,9 @@
 }
 
 // New returns a runner that passes the results to post, as events.
-func New(store platform.Store, source platform.Source, post func(reducer.Input) bool) *Runner {
+func New(store platform.Store, source platform.Source, rollouts platform.Rollouts, post func(reducer.Input) bool) *Runner {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Runner{store: store, source: source, post: post, ctx: ctx, cancel: cancel}
+	return &Runner{store: store, source: source, rollouts: rollouts, post: post, ctx: ctx, cancel: cancel}
 }
 
 // Close cancels the calls in flight and waits for their goroutines.
@@ -81,7 +82,7 @@
 	case reducer.ListNodes:
 		r.run(callTimeout, r.listNodes)
 	default:
-		return false
+		return r.performRollout(effect)
 	}
 	return true
 }
@@ -227,6 +228,8 @@
 		return reducer.StoreOK
 	case platform.NoLease:
 		return reducer.StoreNoLease
+	case platform.NotApplied:
+		return reducer.StoreConflict
 	default:
 		return reducer.StoreUnknown
 	}
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -27,7 +27,7 @@
 	kvServer := standin.New()
 	httpServer := httptest.NewServer(kvServer)
 	f := &fixture{server: kvServer, store: kv.New(httpServer.Listener.Addr().String()), events: make(chan reducer.Input, 1)}
-	f.runner = New(f.store, platform.OwnSource(), func(in reducer.Input) bool { f.events <- in; return true })
+	f.runner = New(f.store, platform.OwnSource(), platform.OwnRollouts(), func(in reducer.Input) bool { f.events <- in; return true })
 	t.Cleanup(func() {
 		f.runner.Close()
 		httpServer.Close()
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -33,6 +33,9 @@
 	familyEventTime    = "rosemaryhatch_reducer_event_seconds"
 	familyQueueLength  = "rosemaryhatch_event_queue_length"
 	familyLogDropped   = "rosemaryhatch_log_lines_dropped_total"
+	familyRolloutShare = "rosemaryhatch_rollout_share_percent"
+	familyRolloutCalls = "rosemaryhatch_rollout_responses"
+	familyRolloutEnds  = "rosemaryhatch_rollouts_total"
 	familySpanFailures = "rosemaryhatch_span_export_failures_total"
 )
 
@@ -64,7 +67,7 @@
 // controlKinds are the kinds of messages on control connections.
 var controlKinds = []string{
 	"heartbeat", "member_update", "member_repair", "member_digest", "config_update", "config_fetch", "response", "hello",
-	"types", "other",
+	"types", "other", "rollout_updates", "rollout_report", "rollout_fetch",
 }
 
 // messageCounter counts the messages of one kind and direction, and their bytes.
--- a/runner/telemetry/store.go
+++ b/runner/telemetry/store.go
@@ -59,6 +59,13 @@
 	return outcome, err
 }
 
+// Transact implements platform.Store.
+func (s *countingStore) Transact(ctx context.Context, conditions []platform.Condition, writes []platform.Write) (platform.WriteOutcome, uint64, error) {
+	outcome, revision, err := s.store.Transact(ctx, conditions, writes)
+	s.metrics.PlatformCallFinished("transact", outcome.String())
+	return outcome, revision, err
+}
+
 // GrantLease implements platform.Store.
 func (s *countingStore) GrantLease(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
 	lease, err := s.store.GrantLease(ctx, ttl)
