--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -88,7 +88,7 @@
 			g.onAcknowledged()
 			delete(n.traffic, e.Exchange)
 		}
-	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus, reducer.QuotaStats:
+	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus, reducer.QuotaStats, reducer.RolloutObserved:
 		// These effects are not visible to other nodes or callers.
 	default:
 		if !n.world.Store.perform(n, effect) {
@@ -198,6 +198,9 @@
 	n.world.History.Executions = append(n.world.History.Executions, invariant.Execution{
 		Request: g.request, Node: n.ID, At: n.world.Now,
 	})
+	if n.world.OnExecution != nil {
+		n.world.OnExecution(n)
+	}
 	g.running = true
 	n.Backend.Running++
 	n.Backend.MaxRunning = max(n.Backend.MaxRunning, n.Backend.Running)
@@ -234,7 +237,11 @@
 		n.post(0, reducer.BackendStreamEnded{Call: call})
 		return
 	}
-	n.post(0, reducer.BackendRequestDone{Call: call, Result: result, Status: 200, Bytes: 1, KeptBytes: 1, Elapsed: elapsed})
+	status := 200
+	if n.Backend.FailShare > 0 && n.world.rng.Float64() < n.Backend.FailShare {
+		status = 500
+	}
+	n.post(0, reducer.BackendRequestDone{Call: call, Result: result, Status: status, Bytes: 1, KeptBytes: 1, Elapsed: elapsed})
 }
 
 func (n *Node) answerForward(e reducer.AnswerForward) {
--- a/node/node.go
+++ b/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/platform/hosted"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/quota"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/control"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
@@ -108,7 +109,8 @@
 		Self: reducer.NodeID(s.Node.ID), Zone: s.Node.Zone, Address: s.Listen.PeerAddress(), Operator: s.Listen.Operator,
 		Incarnation: incarnation, Seeds: s.Peers.Seeds, Discover: true, Limits: limits,
 		Tunables: tunables(s), LinkMbps: s.Instance.LinkMbps,
-		Quotas: quota.Limits{Window: s.Quotas.Window, Overage: s.Quotas.Overage, Slack: float64(s.Quotas.Slack)},
+		Quotas:   quota.Limits{Window: s.Quotas.Window, Overage: s.Quotas.Overage, Slack: float64(s.Quotas.Slack)},
+		Rollouts: rollout.Settings(s.Rollouts),
 	}
 }
 
@@ -138,10 +140,10 @@
 	self := peer.NewIdentity(s.Node.System, reducer.PeerRef{
 		Node: reducer.NodeID(s.Node.ID), Address: s.Listen.PeerAddress(), Incarnation: incarnation,
 	})
-	front, source := frontend.FrontEnd(frontend.Native{}), platform.OwnSource()
+	front, source, rollouts := frontend.FrontEnd(frontend.Native{}), platform.OwnSource(), platform.OwnRollouts()
 	if s.Platform.Mode == settings.ModeHosted {
 		front = hosted.FrontEnd{Service: s.Backend.Service}
-		source = hosted.Source()
+		source, rollouts = hosted.Source(), hosted.Rollouts()
 	}
 	n.backend = backend.NewRunner(n.responses, front, n.thread, n.mailboxes)
 	n.peerClient = peer.NewClient(self, n.thread.Post, n.metrics)
@@ -158,7 +160,7 @@
 		Control: n.thread, Mailboxes: n.mailboxes, Responses: n.responses, Forwarder: n.peerClient, Backend: n.backend,
 		Front: front, Tracer: n.tracer, Logger: n.logger, Workers: n.workers, Pacer: pacer, OnRefused: n.metrics.CallerRefused,
 	})
-	n.store = store.New(kv, source, n.thread.Post)
+	n.store = store.New(kv, source, rollouts, n.thread.Post)
 	registrations := backend.RegisterHandler(n.thread, n.mailboxes, backend.Expected{
 		Service: s.Backend.Service, Address: s.Backend.Address, Ordered: s.Platform.Mode == settings.ModeHosted,
 	})
--- a/node/perform.go
+++ b/node/perform.go
@@ -44,6 +44,8 @@
 		n.metrics.CallQueued(e)
 	case reducer.QuotaStats:
 		n.metrics.QuotaStats(e)
+	case reducer.RolloutObserved:
+		n.metrics.RolloutObserved(e)
 	case reducer.Log:
 		n.writeLog(e)
 	case reducer.CloseListener:
--- a/reducer/members_detector.go
+++ b/reducer/members_detector.go
@@ -70,13 +70,15 @@
 // suspicions, because messages that came during the pause have not been read yet.
 func (s *State) detectPause() {
 	d := &s.members.detector
-	paused := s.now-d.lastEvent > silenceLimit
+	gap := s.now - d.lastEvent
+	paused := gap > silenceLimit
 	d.lastEvent = s.now
 	if !paused {
 		return
 	}
 	s.notePause()
 	s.resetQuotas()
+	s.suspendRollouts(gap)
 	for _, l := range s.members.overlay.links {
 		l.heard = s.now
 	}
@@ -336,6 +338,7 @@
 		l.retryAt = s.now + s.jitter(l.backoff)
 	}
 	if in.Refused {
+		s.noteRefused(in.To)
 		s.noteZoneHeard(member.Zone, s.now)
 		s.suspect(in.To.Node)
 	}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/quota"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -49,7 +50,8 @@
 	// itself; nil for a node that receives them from the store or from peers.
 	Tables     *tables.Snapshot
 	Quotas     quota.Limits // how exactly the quotas of workspaces are kept; a Window of 0 is 5 s
-	Discipline Discipline   // order of the queue; measurements and tests set other values than the default
+	Rollouts   rollout.Settings
+	Discipline Discipline // order of the queue; measurements and tests set other values than the default
 	// DisableNested treats nested calls like any others, for comparison in measurements and tests.
 	DisableNested bool
 	// DisableFairness treats calls of all workspaces as those of one, for the same purpose.
@@ -94,6 +96,7 @@
 
 	registration registrationState
 	quota        quotaState
+	rollouts     rolloutState
 }
 
 // New returns the state of a node that has just started. Its first timers fire with the first event.
@@ -116,6 +119,7 @@
 		s.applyQuotas()
 		s.effects = nil // logs of a version that the program gave
 	}
+	s.initRollouts()
 	if cfg.Discover {
 		s.timers.set(timerKey{kind: timerAnnounceNode}, 0)
 		s.timers.set(timerKey{kind: timerListNodes}, 0)
@@ -196,6 +200,14 @@
 		s.cfg.Tunables = in.Tunables
 	case NodesListed:
 		s.handleNodesListed(in)
+	case RolloutsRead:
+		s.handleRolloutsRead(in)
+	case RolloutsChanged:
+		s.handleRolloutsChanged(in)
+	case RolloutLeaseHeld:
+		s.handleRolloutLeaseHeld(in)
+	case RolloutWritten:
+		s.handleRolloutWritten(in)
 	case TablesChecked:
 		s.handleTablesChecked(in)
 	case HandOverDone:
@@ -267,6 +279,8 @@
 		s.relayPending()
 	case timerQuota:
 		s.runQuotaTimer()
+	case timerRollouts:
+		s.advanceRollouts()
 	default:
 		panic(fmt.Sprintf("reducer: no handler for timer kind %d", key.kind))
 	}
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -31,6 +31,7 @@
 	timerJoin
 	timerRelay
 	timerQuota
+	timerRollouts
 )
 
 // timerKey identifies a timer. Setting a timer again under the same key moves it.
--- a/runner/peer/kind.go
+++ b/runner/peer/kind.go
@@ -31,6 +31,12 @@
 		return "quota_request"
 	case control.QuotaGrant != nil:
 		return "quota_grant"
+	case control.RolloutUpdates != nil:
+		return "rollout_updates"
+	case control.RolloutReport != nil:
+		return "rollout_report"
+	case control.RolloutFetch != nil:
+		return "rollout_fetch"
 	default:
 		return kindOther
 	}
--- a/runner/peer/wire_control.go
+++ b/runner/peer/wire_control.go
@@ -16,6 +16,10 @@
 	ConfigFetch  *ConfigFetch
 	QuotaRequest *QuotaRequest
 	QuotaGrant   *QuotaGrant
+
+	RolloutUpdates *RolloutUpdates
+	RolloutReport  *RolloutReport
+	RolloutFetch   *RolloutFetch
 }
 
 // Version is tables.VersionID on the wire.
@@ -79,7 +83,7 @@
 	case reducer.QuotaGrant:
 		return &ControlArgs{QuotaGrant: wireQuotaGrant(m)}
 	default:
-		return nil
+		return wireRollout(message)
 	}
 }
 
@@ -104,6 +108,6 @@
 	case a.QuotaGrant != nil:
 		return a.QuotaGrant.toMessage(), nil
 	default:
-		return nil, nil
+		return a.toRolloutMessage(), nil
 	}
 }
