reducer: hold requests back only for nested calls that overload refuses

Only refusals by deadline, queue or holdback count. TestOnlyOverloadHoldsRequestsBack failed before for shed calls.

--- a/reducer/nested_calls.go
+++ b/reducer/nested_calls.go
@@ -72,17 +72,17 @@
 	}
 }
 
-// failsOuterCall reports whether a nested call without a response fails because its target cannot serve it now. A caller
-// that leaves when nearly no time is left has waited in vain.
+// failsOuterCall reports whether a nested call without a response fails because its target is overloaded, so that fewer
+// requests would help. A backend server that sheds a part of its calls, or cannot be reached, serves no more of them when
+// requests are held back. A caller that leaves when nearly no time is left has waited in vain.
 func failsOuterCall(call *ingressCall, reason Reason, now time.Duration) bool {
 	switch reason {
-	case ReasonNoRoute, ReasonBodyTooLarge, ReasonBodyIncomplete, ReasonTooDeep, ReasonUnsupportedRoute, ReasonUnknownKey,
-		ReasonQuotaExceeded, ReasonResponseTooLarge:
-		return false
+	case ReasonDeadline, ReasonQueueFull, ReasonOverloaded, ReasonNestedFailing:
+		return true
 	case ReasonCallerGone:
 		return call.deadline-now < (call.deadline-call.arrivedAt)/10
 	default:
-		return true
+		return false
 	}
 }
 
--- a/reducer/nested_test.go
+++ b/reducer/nested_test.go
@@ -92,3 +92,23 @@
 		t.Errorf("a response with 500 of a server whose nested calls fail counts as %d", got)
 	}
 }
+
+// Guards against requests that are held back because a backend server sheds a part of the calls that it could run, or because it
+// cannot be reached: it would serve no more of them.
+func TestOnlyOverloadHoldsRequestsBack(t *testing.T) {
+	for reason, heldBack := range map[Reason]bool{
+		ReasonDeadline: true, ReasonQueueFull: true, ReasonNestedFailing: true,
+		ReasonShed: false, ReasonPeerUnreachable: false, ReasonBackendFailed: false, ReasonUnknownKey: false,
+	} {
+		s := New(testTables(t, nestedRoutes, nestedPools))
+		s.now = time.Second
+		call := &ingressCall{nested: true, madeBy: []nested.Share{{Name: "check", Value: 1}}, deadline: 2 * time.Second}
+		for range 100 {
+			s.noteNestedEnd(call, OutcomeNotRun, reason)
+		}
+		s.now += 200 * time.Millisecond
+		if admitted := s.nested.holdback.Admitted(s.now, "check"); (admitted < 1) != heldBack {
+			t.Errorf("%.2f are admitted after failures with %v", admitted, reason)
+		}
+	}
+}
