reducer/nested: compare the origins of a route with another route at the same target

In a trial with 63 nodes the ordinary routes counted as nested within 0.5 s: a node serves part of its own calls itself and forwards the others to a subset of the targets, so that the nodes of the zone are no measure of what a target sees.

A route is compared with another route at the same target, and with none when there is no other.

--- a/reducer/nested/origins.go
+++ b/reducer/nested/origins.go
@@ -18,11 +18,12 @@
 	ordinaryEvidence = -4.0
 	// maxOriginCalls is the number of calls at which their weights are halved, so that a change shows within as many calls.
 	maxOriginCalls = 256
-	// callerShare is the share of the calls of a route that must come from nodes of a service for it to count as a caller,
-	// and callerRatio what part of the calls for each node of the service with most of them. A route that is also used by
-	// callers has fewer calls for each node of the other services, and stays ordinary.
+	// callerShare is the share of the calls of a route that must come from nodes of a service for it to count as a caller.
 	callerShare = 0.1
-	callerRatio = 0.5
+	// minCompared is the number of calls of another route from which it is compared with, and minComparedShare the share of
+	// them that must come from the callers of the route: two nested routes of different callers say nothing of each other.
+	minCompared      = 16
+	minComparedShare = 0.05
 	// minOriginNodes is the number of nodes that calls must come from: a caller may keep one connection to one node.
 	minOriginNodes = 2
 	// maxRoutes bounds the routes in each table of this package.
@@ -40,13 +41,17 @@
 )
 
 // Origins learns at a target which routes are nested, from the services beside the nodes that forward the calls. Calls of
-// callers enter at all nodes of a zone; nested calls enter only at nodes beside the service that makes them. This also
-// holds while the backend servers are always busy.
+// callers enter at all nodes; nested calls enter only at nodes beside the service that makes them. This also holds while
+// the backend servers are always busy. A route is compared with other routes at the same target and not with the nodes of
+// the zone: a node forwards to some targets more than to others, and calls that it serves itself are not forwarded.
 type Origins struct {
+	// Own is the service beside this node. Its calls to itself are not learned, because callers may choose nodes beside the
+	// service that they call.
+	Own    string
 	routes map[string]*origins
 }
 
-// Share is the share or the probability of a named service or route.
+// Share is the probability that a named route has made a call.
 type Share struct {
 	Name  string
 	Value float64
@@ -60,17 +65,15 @@
 	nested   bool
 }
 
-// serviceCalls holds the weight of the calls from the nodes beside one service, and what it would be if callers chose the
-// nodes of a zone at random.
+// serviceCalls holds the weight of the calls from the nodes beside one service.
 type serviceCalls struct {
-	name           string
-	from, expected float64
+	name string
+	from float64
 }
 
-// Arrived counts a call of a route that was forwarded by a node beside a service; the service is empty for a node that
-// cannot make nested calls. The shares are those of the services among the nodes of its zone. It reports whether the
-// route has become nested or ordinary with this call.
-func (o *Origins) Arrived(route, node, service string, shares []Share) bool {
+// Arrived counts a call of a route that was forwarded by a node beside a service. It reports whether the route has become
+// nested or ordinary with this call.
+func (o *Origins) Arrived(route, node, service string) bool {
 	entry := o.routes[route]
 	if entry == nil {
 		if len(o.routes) >= maxRoutes {
@@ -82,16 +85,13 @@
 		entry = &origins{}
 		o.routes[route] = entry
 	}
-	entry.add(node, service, shares)
-	return entry.decide()
+	entry.add(node, service)
+	return entry.decide(o.evidence(entry))
 }
 
-func (e *origins) add(node, service string, shares []Share) {
+func (e *origins) add(node, service string) {
 	e.calls++
 	e.service(service).from++
-	for _, share := range shares {
-		e.service(share.Name).expected += share.Value
-	}
 	if len(e.nodes) < minOriginNodes && !slices.Contains(e.nodes, node) {
 		e.nodes = append(e.nodes, node)
 	}
@@ -101,25 +101,22 @@
 	e.calls /= 2
 	for i := range e.services {
 		e.services[i].from /= 2
-		e.services[i].expected /= 2
 	}
 }
 
 // service returns the entry of a service and adds it if there is none. The pointer is valid until the next call.
 func (e *origins) service(name string) *serviceCalls {
-	for i := range e.services {
-		if e.services[i].name == name {
-			return &e.services[i]
-		}
+	if s := e.find(name); s != nil {
+		return s
 	}
 	e.services = append(e.services, serviceCalls{name: name})
 	return &e.services[len(e.services)-1]
 }
 
 // decide updates whether the route is nested and reports whether that has changed.
-func (e *origins) decide() bool {
+func (e *origins) decide(evidence float64) bool {
 	was := e.nested
-	switch evidence := e.evidence(); {
+	switch {
 	case evidence >= learnEvidence && len(e.nodes) >= minOriginNodes:
 		e.nested = true
 	case evidence <= ordinaryEvidence:
@@ -128,37 +125,50 @@
 	return e.nested != was
 }
 
-// evidence returns the logarithm of the likelihood ratio of the hypotheses that the calls come from nodes of the calling
-// services only, and that they come from all nodes. It is not positive when these services are all that there are.
-func (e *origins) evidence() float64 {
-	share, inside, most := 0.0, 0.0, e.highestRatio()
+// evidence returns the logarithm of the likelihood ratio of the hypotheses that the calls of a route come from nodes of the
+// calling services only, and that they come from the same nodes as those of the other route with the fewest calls from
+// these; 0 when no other route can be compared with.
+func (o *Origins) evidence(e *origins) float64 {
+	inside, share := 0.0, 1.0
 	for i := range e.services {
-		if s := &e.services[i]; e.isCaller(s, most) {
-			share += s.expected / e.calls
+		if s := &e.services[i]; o.isCaller(e, s) {
 			inside += s.from
 		}
 	}
-	if share <= 0 || share >= 1-otherOrigins {
-		return -e.calls
+	for _, other := range o.routes { // the lowest share does not depend on the order
+		if other == e || other.calls < minCompared {
+			continue
+		}
+		from := 0.0
+		for i := range other.services {
+			if s := &other.services[i]; o.isCaller(e, e.find(s.name)) {
+				from += s.from
+			}
+		}
+		if part := from / other.calls; part >= minComparedShare {
+			share = min(share, part+math.Sqrt(part*(1-part)/other.calls)) // a standard error more
+		}
+	}
+	outside := e.calls - inside
+	if share >= 1-otherOrigins {
+		return min(0, outside*math.Log(otherOrigins))
 	}
-	return inside*math.Log((1-otherOrigins)/share) + (e.calls-inside)*math.Log(otherOrigins/(1-share))
-}
-
-// isCaller reports whether nodes beside a service make enough of the calls, given the highest ratio. A node without a
-// backend server makes no nested calls.
-func (e *origins) isCaller(s *serviceCalls, most float64) bool {
-	return s.name != "" && s.from >= callerShare*e.calls && s.from >= callerRatio*most*s.expected
+	return inside*math.Log((1-otherOrigins)/share) + outside*math.Log(otherOrigins/(1-share))
 }
 
-// highestRatio returns the highest ratio of calls to expected calls of the services with enough calls.
-func (e *origins) highestRatio() float64 {
-	most := 0.0
+// find returns the entry of a service, or nil.
+func (e *origins) find(name string) *serviceCalls {
 	for i := range e.services {
-		if s := &e.services[i]; s.expected > 0 && s.from >= callerShare*e.calls {
-			most = max(most, s.from/s.expected)
+		if e.services[i].name == name {
+			return &e.services[i]
 		}
 	}
-	return most
+	return nil
+}
+
+// isCaller reports whether nodes beside a service make a named part of the calls of a route.
+func (o *Origins) isCaller(e *origins, s *serviceCalls) bool {
+	return s != nil && s.name != o.Own && s.from >= callerShare*e.calls
 }
 
 // Verdict returns what is known of the calls of a route from the nodes beside a service.
@@ -167,9 +177,9 @@
 	switch {
 	case entry == nil:
 		return Unknown
-	case entry.nested && entry.isCaller(entry.service(service), entry.highestRatio()):
+	case entry.nested && o.isCaller(entry, entry.find(service)):
 		return Nested
-	case entry.evidence() <= ordinaryEvidence:
+	case o.evidence(entry) <= ordinaryEvidence:
 		return Ordinary
 	default:
 		return Unknown
@@ -182,5 +192,5 @@
 	if entry == nil {
 		return 0, 0
 	}
-	return entry.calls, entry.evidence()
+	return entry.calls, o.evidence(entry)
 }
--- a/reducer/nested_calls.go
+++ b/reducer/nested_calls.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -13,8 +12,6 @@
 	withheldTTL = 500 * time.Millisecond
 	// withheldWeight is the weight of the newest report in the admitted share.
 	withheldWeight = 0.5
-	// zoneSharesTTL is how long the shares of the services among the nodes of a zone are kept.
-	zoneSharesTTL = time.Second
 	// maxNestedRoutes bounds the routes of which targets have said whether they are nested, and those that are held back.
 	maxNestedRoutes = 1024
 )
@@ -26,8 +23,6 @@
 	holdback nested.Holdback  // of routes of the service beside this node
 	verdicts map[string]bool  // whether a route is nested when it is called from beside this node, as targets report
 	withheld map[string]share // admitted shares of routes, as targets report
-	zones    map[string][]nested.Share
-	zonesAt  time.Duration
 }
 
 // share is a reported admitted share of a route.
@@ -86,54 +81,21 @@
 	}
 }
 
-// learnOrigin counts a forwarded call for the question whether its route is nested.
+// learnOrigin counts a forwarded call for the question whether its route is nested. A node without a backend server makes no
+// nested calls.
 func (s *State) learnOrigin(in ForwardArrived) {
-	origin, known := s.members.table[in.ID.Origin]
-	if !known || s.cfg.DisableNested {
+	origin := s.members.table[in.ID.Origin]
+	service, learned := origin.Upstream.Service, &s.nested.origins
+	if service == "" || s.cfg.DisableNested {
 		return
 	}
-	service := s.callingService(origin)
-	if !s.nested.origins.Arrived(in.Route, string(origin.Node), service, s.serviceShares(origin.Zone)) {
+	learned.Own = s.backend.service
+	if !learned.Arrived(in.Route, string(origin.Node), service) {
 		return
 	}
-	calls, evidence := s.nested.origins.Evidence(in.Route)
-	verdict := s.nested.origins.Verdict(in.Route, service)
+	calls, evidence := learned.Evidence(in.Route)
 	s.log(LevelInfo, "learned whether a route is called by backend servers", Field{"route", in.Route}, Field{"from", service},
-		Field{"nested", verdict == nested.Nested}, Field{"calls", calls}, Field{"evidence", evidence})
-}
-
-// callingService returns the service beside a node whose calls to this node may be nested. Callers may choose nodes beside
-// the service that they call, so calls from those say nothing.
-func (s *State) callingService(origin Member) string {
-	if origin.Upstream.Service == s.backend.service {
-		return ""
-	}
-	return origin.Upstream.Service
-}
-
-// serviceShares returns the shares of the services among the nodes of a zone, in the order of their names.
-func (s *State) serviceShares(zone string) []nested.Share {
-	n := &s.nested
-	if n.zones == nil || s.now-n.zonesAt > zoneSharesTTL {
-		n.zones, n.zonesAt = map[string][]nested.Share{}, s.now
-	}
-	if shares, ok := n.zones[zone]; ok {
-		return shares
-	}
-	count, total := map[string]float64{}, 0.0
-	for _, m := range s.members.sorted() {
-		if m.Zone == zone && (m.State == MemberAlive || m.State == MemberSuspect) {
-			count[s.callingService(m)]++
-			total++
-		}
-	}
-	shares := make([]nested.Share, 0, len(count))
-	for service, nodes := range count {
-		shares = append(shares, nested.Share{Name: service, Value: nodes / total})
-	}
-	slices.SortFunc(shares, func(a, b nested.Share) int { return cmp.Compare(a.Name, b.Name) })
-	n.zones[zone] = shares
-	return shares
+		Field{"nested", learned.Verdict(in.Route, service) == nested.Nested}, Field{"calls", calls}, Field{"evidence", evidence})
 }
 
 // prepareNested makes the deadline of a nested call its due time: a late response is of no use to the request that made it.
@@ -148,7 +110,7 @@
 func (s *State) reportFor(call *targetCall) LoadReport {
 	report := s.loadReport()
 	if origin, known := s.members.table[call.id.Origin]; known {
-		report.RouteNested = s.nested.origins.Verdict(call.route, s.callingService(origin))
+		report.RouteNested = s.nested.origins.Verdict(call.route, origin.Upstream.Service)
 	}
 	admitted := s.nested.holdback.Admitted(s.now, call.route)
 	report.Withheld = int(100 - 100*admitted)
