runner/ingress: a caller that stops in the middle of its body is answered 400

A caller that ended its side of the connection halfway through a body was answered 503, not run, caller_gone, or 400, by which of two events came first. The result of the read decides now: 400, not run, body_incomplete. TestBodiesOtherThanAnnounced failed before (status 503).

--- a/node/upload_test.go
+++ b/node/upload_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
@@ -122,6 +124,41 @@
 	}
 }
 
+// Guards against an upload that runs although its body is not the one that was announced, and against an outcome that says
+// less than is known: nothing was sent on.
+func TestBodiesOtherThanAnnounced(t *testing.T) {
+	address := startUploads(t, uploadLinkMbps)
+	for name, c := range map[string]struct{ sent, status int }{"stops halfway": {50_000, 400}, "sends more": {100_000, 200}} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /uploads/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n%s", make([]byte, c.sent))
+		if c.status == 400 {
+			conn.(*net.TCPConn).CloseWrite() // it still reads
+		} else {
+			io.WriteString(conn, "more\r\n\r\n")
+		}
+		conn.SetReadDeadline(time.Now().Add(waitTimeout))
+		r := bufio.NewReader(conn)
+		response, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		text, _ := io.ReadAll(response.Body)
+		if response.StatusCode != c.status {
+			t.Errorf("%s: status %d, %s", name, response.StatusCode, text)
+		}
+		if c.status == 400 && response.Header.Get("Rosemaryhatch-Outcome") != "not_run" {
+			t.Errorf("%s: %v", name, response.Header)
+		}
+		if next, err := http.ReadResponse(r, nil); err == nil && next.StatusCode < 400 {
+			t.Errorf("%s: bytes beyond the body were answered with %d", name, next.StatusCode)
+		}
+	}
+}
+
 // BenchmarkUploads measures 64 uploads of 360 KB at once over a link of 10 Mbit/s: the memory of both nodes, the callers and the
 // backend server, which are one process, and the time of small calls meanwhile.
 func BenchmarkUploads(b *testing.B) {
--- a/runner/ingress/exchange.go
+++ b/runner/ingress/exchange.go
@@ -63,6 +63,10 @@
 			}
 			e.post(res.input)
 		case <-e.callerGone:
+			if e.bodyRead != nil { // its result tells whether the caller stopped halfway
+				e.callerGone = nil
+				continue
+			}
 			e.reportCallerGone()
 		case <-e.server.Control.Done():
 			return e.answerWithoutControl()
