reducer: the time of an upload counts the way from its caller

An upload that could arrive at the ingress node but not at its target in time was accepted, and Retry-After of one that the receiving link refused was the shortest there is. The expected time of a body that has not been read now includes the receiving link of this node. TestBodiesOfCallersAreBoundByTheLink: four instead of five bodies of 360 KB fit 2 s, Retry-After within 30 and 40 ms.

--- a/reducer/uploads.go
+++ b/reducer/uploads.go
@@ -116,10 +116,15 @@
 	return max(u.load.report.LinkInBacklog-(s.now-u.load.reportedAt), 0) + s.links.in.Time(u.load.uploadBytesSent)
 }
 
-// uploadTime returns how long the body of a call is expected to take to an upstream, over both links.
+// uploadTime returns how long the body of a call is expected to take to an upstream: from its caller, unless it is here, and
+// over the links of both nodes.
 func (s *State) uploadTime(u *servingUpstream, call *ingressCall) time.Duration {
+	here := time.Duration(0)
+	if call.phase == 0 && call.limits.Depth <= 1 {
+		here = s.links.in.Backlog(s.now) + s.links.in.Time(call.reservedBytes)
+	}
 	if u.Node == s.cfg.Self {
-		return 0 // it is here
+		return here
 	}
-	return max(s.links.out.Backlog(s.now), s.uploadBacklog(u)) + s.links.out.Time(call.reservedBytes)
+	return max(here, s.links.out.Backlog(s.now), s.uploadBacklog(u)) + s.links.out.Time(call.reservedBytes)
 }
