--- a/node/upload_test.go
+++ b/node/upload_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -17,6 +18,7 @@
 
 	"github.com/go-kit/log"
 
+	"github.com/rosemaryhatch/rosemaryhatch/internal/standin/link"
 	standin "github.com/rosemaryhatch/rosemaryhatch/internal/standin/platform"
 	store "github.com/rosemaryhatch/rosemaryhatch/platform/kv"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
@@ -40,73 +42,6 @@
 // uploadLinkMbps is the rate of the link between the nodes in each direction.
 const uploadLinkMbps = 10
 
-// carryBytes moves bytes at uploadLinkMbps over a first-in-first-out link that several connections share. Up to 256 KiB of a
-// connection are under way, as in the buffers of TCP.
-func carryBytes(to, from net.Conn, book func(n int) time.Time) {
-	type piece struct {
-		at   time.Time
-		data []byte
-	}
-	pieces := make(chan piece, 64)
-	go func() {
-		defer close(pieces)
-		for {
-			data := make([]byte, 4<<10)
-			n, err := from.Read(data)
-			if err != nil {
-				return
-			}
-			pieces <- piece{book(n), data[:n]}
-		}
-	}()
-	for p := range pieces {
-		time.Sleep(time.Until(p.at))
-		to.Write(p.data)
-	}
-	to.Close()
-}
-
-// newLink returns the function that books bytes on a link and returns when they arrive.
-func newLink() func(n int) time.Time {
-	var mu sync.Mutex
-	var busy time.Time
-	return func(n int) time.Time {
-		mu.Lock()
-		defer mu.Unlock()
-		if now := time.Now(); busy.Before(now) {
-			busy = now
-		}
-		busy = busy.Add(time.Duration(n) * 8 * time.Microsecond / uploadLinkMbps)
-		return busy
-	}
-}
-
-// startLinkTo returns the address of a proxy that connects to an address over a slow link.
-func startLinkTo(t testing.TB, address string) string {
-	proxy, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { proxy.Close() })
-	up, down := newLink(), newLink()
-	go func() {
-		for {
-			conn, err := proxy.Accept()
-			if err != nil {
-				return
-			}
-			server, err := net.Dial("tcp", address)
-			if err != nil {
-				conn.Close()
-				continue
-			}
-			go carryBytes(server, conn, up)
-			go carryBytes(conn, server, down)
-		}
-	}()
-	return proxy.Addr().String()
-}
-
 // startUploads runs two nodes with a slow link to the second, which has a backend server that answers with the length of
 // the body. It returns the address of the first.
 func startUploads(t testing.TB, mbps float64) string {
@@ -118,7 +53,12 @@
 	run := func(id string, slow bool, seeds ...string) settings.Listen {
 		listeners, addresses := openListeners(t)
 		if slow {
-			addresses.AdvertisePeers = startLinkTo(t, addresses.Peers)
+			proxy, err := link.Start(addresses.Peers, uploadLinkMbps)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(proxy.Close)
+			addresses.AdvertisePeers = proxy.Address()
 		}
 		n := New(settings.Settings{
 			Node: settings.Node{ID: id, Zone: "Larvik", System: "test"}, Listen: addresses, Peers: settings.Peers{Seeds: seeds},
@@ -184,6 +124,41 @@
 	}
 }
 
+// Guards against an upload that runs although its body is not the one that was announced, and against an outcome that says
+// less than is known: nothing was sent on.
+func TestBodiesOtherThanAnnounced(t *testing.T) {
+	address := startUploads(t, uploadLinkMbps)
+	for name, c := range map[string]struct{ sent, status int }{"stops halfway": {50_000, 400}, "sends more": {100_000, 200}} {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "POST /uploads/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n%s", make([]byte, c.sent))
+		if c.status == 400 {
+			conn.(*net.TCPConn).CloseWrite() // it still reads
+		} else {
+			io.WriteString(conn, "more\r\n\r\n")
+		}
+		conn.SetReadDeadline(time.Now().Add(waitTimeout))
+		r := bufio.NewReader(conn)
+		response, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		text, _ := io.ReadAll(response.Body)
+		if response.StatusCode != c.status {
+			t.Errorf("%s: status %d, %s", name, response.StatusCode, text)
+		}
+		if c.status == 400 && response.Header.Get("Rosemaryhatch-Outcome") != "not_run" {
+			t.Errorf("%s: %v", name, response.Header)
+		}
+		if next, err := http.ReadResponse(r, nil); err == nil && next.StatusCode < 400 {
+			t.Errorf("%s: bytes beyond the body were answered with %d", name, next.StatusCode)
+		}
+	}
+}
+
 // BenchmarkUploads measures 64 uploads of 360 KB at once over a link of 10 Mbit/s: the memory of both nodes, the callers and the
 // backend server, which are one process, and the time of small calls meanwhile.
 func BenchmarkUploads(b *testing.B) {
