--- a/reducer/quota/cluster_test.go
+++ b/reducer/quota/cluster_test.go
@@ -307,15 +307,15 @@
 	})
 }
 
-// call sends a call of a workspace to an instance.
+// call sends a call of a workspace to an instance. One that waits in a paused process counts from its resumption.
 func (c *cluster) call(in *instance, workspace string) {
 	if !in.up {
 		return
 	}
 	c.nextCall++
 	id := c.nextCall
-	c.calls[id] = &callRecord{workspace: workspace, sentAt: c.now}
 	in.do(func() {
+		c.calls[id] = &callRecord{workspace: workspace, sentAt: c.now}
 		d := in.node.Arrive(in.clock(), workspace, id)
 		if d.Result != Waiting {
 			c.finish(d)
--- a/reducer/quota/simulation_test.go
+++ b/reducer/quota/simulation_test.go
@@ -125,3 +125,23 @@
 		}
 	}
 }
+
+// Guards against refusals when the callers of a workspace move to other nodes: its tokens must follow within a second.
+func TestDemandFollowsCallers(t *testing.T) {
+	c := newCluster(1, 90, deploymentLimits, true, deploymentWorkspaces()[:3])
+	for _, w := range c.quotas {
+		var next func()
+		next = func() {
+			zone := int(c.now/(5*time.Second)) % 3 // all callers use one zone, for 5 s
+			c.call(c.nodes[zone+3*c.rng.IntN(30)], w.Name)
+			c.after(time.Duration(c.rng.ExpFloat64()/(w.Rate/1.6)*float64(time.Second)), next)
+		}
+		c.after(0, next)
+	}
+	c.run(25 * time.Second)
+	sum := sumOf(c.outcomes(5*time.Second), "")
+	t.Logf("%+v", sum)
+	if float64(sum.refused) > 0.005*float64(sum.calls) {
+		t.Errorf("%d of %d calls refused", sum.refused, sum.calls)
+	}
+}
