rosemaryhatchctl rollout; tests of roll-outs with whole nodes, the store and the wire

Orders of the project's own are started, watched and aborted; those of the platform's operator are shown.

--- a/cmd/rosemaryhatchctl/commands.go
+++ b/cmd/rosemaryhatchctl/commands.go
@@ -43,6 +43,8 @@
 		return c.status(ctx)
 	case "wait":
 		return c.report(c.runner.Run(ctx, operator.NewWait(c.version, c.nodes, c.timeout)))
+	case "rollout start", "rollout watch", "rollout status", "rollout abort":
+		return c.rollout(ctx, name)
 	case "version":
 		fmt.Fprintln(c.out.Writer, version.String())
 		return operator.Done
--- a/cmd/rosemaryhatchctl/main.go
+++ b/cmd/rosemaryhatchctl/main.go
@@ -39,6 +39,9 @@
 	nodes                                     []string
 	timeout                                   time.Duration
 	limit                                     int
+
+	service, software string
+	duration          time.Duration
 }
 
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
@@ -73,6 +76,7 @@
 	app.Flag("author", "Name to store as the author of a new version.").Envar("USER").StringVar(&f.author)
 	addTableCommands(app, f)
 	addNodeCommands(app, f)
+	addRolloutCommands(app, f)
 	// This is a command because a program-wide flag --version would conflict with get --version.
 	app.Command("version", "Print the version of the program.")
 	shell := app.Command("completion", "Print a completion script.")
@@ -156,7 +160,7 @@
 
 func (f *flags) needsStore(name string) bool {
 	switch name {
-	case "apply", "get", "edit", "history", "rollback":
+	case "apply", "get", "edit", "history", "rollback", "rollout start", "rollout watch", "rollout status", "rollout abort":
 		return true
 	case "diff":
 		return operator.NeedsStore(f.from) || operator.NeedsStore(f.to)
--- a/internal/pump/rollout_test.go
+++ b/internal/pump/rollout_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 
 const (
 	rolloutRoutes = "[route look]\npath = /look\npool = desk\npriority = 1\nidempotent = yes\ntimeout = 1s\n" +
-		"[route book]\npath = /book\npool = desk\npriority = 1\ntimeout = 1s\n"
+		"[route book]\npath = /book\npool = desk\npriority = 1\ntimeout = 1s\nkey_retention = 1s\n"
 	rolloutPools    = "[pool desk]\nservice = desk\n"
 	rolloutRate     = 200 // requests a second
 	rolloutDuration = 12 * time.Second
@@ -32,11 +33,12 @@
 	reached   int // requests that reached the service until then
 	requests  int
 	stop      bool
+	keyed     bool // half of the requests have an idempotency key, and each key is sent twice within 4 s
 }
 
 func newRolloutWorld(t *testing.T, seed uint64) *rolloutWorld {
 	t.Helper()
-	w := &rolloutWorld{World: New(seed), executed: map[string]int{}, afterEnd: map[string]int{}}
+	w := &rolloutWorld{World: New(seed), executed: map[string]int{}, afterEnd: map[string]int{}, keyed: seed%4 == 2}
 	w.Rollouts = rollout.Settings{Enabled: true, ExposureShare: 0.1, ExposureSlack: 50, Rollback: 5 * time.Second}
 	w.Store.Apply(rolloutRoutes, rolloutPools)
 	zones := []string{"Larvik", "Horten", "Vik"}
@@ -44,6 +46,9 @@
 		w.AddVersion(reducer.NodeID(fmt.Sprint("a", i)), zones[i%3], "desk", "v1")
 	}
 	w.Run(3 * time.Second)
+	if w.keyed { // longer than the retention of keys and the time for which changes of members count
+		w.Run(40 * time.Second)
+	}
 	for i := range 3 {
 		w.AddVersion(reducer.NodeID(fmt.Sprint("b", i)), zones[i], "desk", "v2")
 	}
@@ -64,7 +69,7 @@
 		}
 	}
 	w.load()
-	w.Run(6 * time.Second)
+	w.Run(w.Now + 3*time.Second)
 	if w.executed["v2"] > 0 || w.executed["v1"] == 0 {
 		t.Fatalf("before the order v2 got %d requests and v1 %d, expected 0 and some", w.executed["v2"], w.executed["v1"])
 	}
@@ -79,9 +84,17 @@
 	nodes := w.Nodes()
 	node := nodes[w.rng.IntN(len(nodes))]
 	w.requests++
-	path := []string{"/look", "/book"}[w.requests%2]
-	w.Request(node, invariant.Request{ID: fmt.Sprint("r", w.requests), Idempotent: path == "/look"},
-		reducer.CallArrived{Host: "callers", Method: "POST", Path: path})
+	request := invariant.Request{ID: fmt.Sprint("r", w.requests), Idempotent: w.requests%2 == 0}
+	arrived := reducer.CallArrived{Host: "callers", Method: "POST", Path: []string{"/look", "/book"}[w.requests%2]}
+	if w.keyed && !request.Idempotent {
+		request.Key, arrived.FirstAttempt = fmt.Sprint("k", w.requests), true
+		repeat := request
+		repeat.ID += "-again"
+		w.After(time.Duration(w.rng.IntN(4000))*time.Millisecond, func() {
+			w.Request(nodes[w.rng.IntN(len(nodes))], repeat, reducer.CallArrived{Host: "callers", Method: "POST", Path: "/book"})
+		})
+	}
+	w.Request(node, request, arrived)
 	w.After(time.Second/rolloutRate, w.load)
 }
 
@@ -177,5 +190,59 @@
 	w.finish(t, rolloutDuration, rollout.Succeeded)
 }
 
+// Guards against a request with a key that runs at the old and at the new version, when the share changes between it and
+// its repeat.
+func TestKeysMoveBetweenVersionsWithoutSecondExecution(t *testing.T) {
+	w := newRolloutWorld(t, 6)
+	w.order("v2")
+	w.finish(t, rolloutDuration, rollout.Succeeded)
+	w.stop = true
+	w.Run(w.Now + 6*time.Second)
+	repeats := map[string]int{}
+	for _, answer := range w.History.Answers {
+		if strings.HasSuffix(answer.Request.ID, "-again") {
+			repeats[answer.Outcome.String()]++
+		}
+	}
+	t.Logf("repeats: %v", repeats)
+	if repeats["done"] == 0 {
+		t.Errorf("no repeat was answered: %v", repeats)
+	}
+	for _, violation := range w.CheckInvariants() {
+		if violation.Invariant == "I6" || violation.Invariant == "I5" {
+			t.Errorf("%+v", violation)
+		}
+	}
+}
+
+// Guards against calls to the store or messages of a component that is off, and against a choice of upstreams that then
+// depends on versions.
+func TestRolloutsAreOffWithoutSettings(t *testing.T) {
+	w := New(7)
+	w.Store.Apply(rolloutRoutes, rolloutPools)
+	w.AddVersion("a", "Larvik", "desk", "v1")
+	w.AddVersion("b", "Horten", "desk", "v2")
+	w.Trace = func(_ *Node, _ reducer.Input, effects []reducer.Effect) {
+		for _, effect := range effects {
+			if name := fmt.Sprintf("%T", effect); strings.Contains(name, "Rollout") {
+				t.Errorf("effect %s", name)
+			}
+			if send, ok := effect.(reducer.Send); ok && strings.Contains(fmt.Sprintf("%T", send.Message), "Rollout") {
+				t.Errorf("message %T", send.Message)
+			}
+		}
+	}
+	served := map[string]int{}
+	w.OnExecution = func(n *Node) { served[n.Backend.Version]++ }
+	w.Run(3 * time.Second)
+	for i := range 200 {
+		w.Request(w.Nodes()[i%2], invariant.Request{ID: fmt.Sprint("r", i), Idempotent: true}, reducer.CallArrived{Host: "callers", Method: "POST", Path: "/look"})
+		w.Run(w.Now + 10*time.Millisecond)
+	}
+	if served["v1"] == 0 || served["v2"] == 0 {
+		t.Errorf("requests by version: %v", served)
+	}
+}
+
 // sortedFaultNames returns the names of the faults in a fixed order.
 func sortedFaultNames() []string { return slices.Sorted(maps.Keys(rolloutFaults)) }
--- a/node/hosted_test.go
+++ b/node/hosted_test.go
@@ -89,14 +89,17 @@
 
 // registerBackend registers a backend server at each heartbeat interval until ctx is cancelled.
 func registerBackend(ctx context.Context, node string, b settings.Backend) {
-	for sequence := uint64(1); ctx.Err() == nil; sequence++ {
-		body, _ := json.Marshal(backend.Registration{
-			Service: b.Service, Address: b.Address, Slots: 6, State: backend.StateReady, Sequence: sequence, Born: 1,
-		})
+	registerUntil(ctx, node, b.Heartbeat, backend.Registration{Service: b.Service, Address: b.Address, Slots: 6, State: backend.StateReady, Born: 1})
+}
+
+// registerUntil sends a registration with increasing sequences until ctx is cancelled.
+func registerUntil(ctx context.Context, node string, interval time.Duration, registration backend.Registration) {
+	for registration.Sequence = 1; ctx.Err() == nil; registration.Sequence++ {
+		body, _ := json.Marshal(registration)
 		if response, err := http.Post("http://"+node+backend.RegisterPath+"b1", "application/json", bytes.NewReader(body)); err == nil {
 			response.Body.Close()
 		}
-		time.Sleep(b.Heartbeat)
+		time.Sleep(interval)
 	}
 }
 
--- a/operator/output.go
+++ b/operator/output.go
@@ -45,6 +45,11 @@
 	})
 }
 
+// WriteRollout writes what the store says about a roll-out.
+func (o Output) WriteRollout(info RolloutInfo) {
+	o.write(info, func(w io.Writer) { fmt.Fprintln(w, info.Text()) })
+}
+
 func summarize(result Result) string {
 	switch {
 	case result.Problem != "":
