--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -67,6 +67,7 @@
 	firstAttempt bool     // see isFirstAttempt
 	keyOwner     NodeID   // owner of the call's key when it was last looked up
 	askedHolders []NodeID // nodes asked since then for the record of the key
+	hasWaited    bool     // between two attempts; a repeat with the same key may have run meanwhile
 	// ownerReportedNotRun is set when the owner of the call's key answered that the call did not run.
 	ownerReportedNotRun bool
 	// mayHaveRun is set once the outcome of an attempt of an idempotent call is unknown: if another attempt is refused,
--- a/reducer/keyed.go
+++ b/reducer/keyed.go
@@ -81,7 +81,7 @@
 	if c.mayHaveRun || c.earlier != nil {
 		return false
 	}
-	return c.key == "" || c.firstAttempt && c.attempt == 0 || c.ownerReportedNotRun
+	return c.key == "" || c.firstAttempt && c.attempt == 0 && !c.hasWaited || c.ownerReportedNotRun
 }
 
 // outcomeBetweenAttempts returns the outcome of a call that ends before its first attempt or between two. For a call
--- a/reducer/retry.go
+++ b/reducer/retry.go
@@ -90,6 +90,7 @@
 	s.logCall(call, "attempt failed, another follows", Field{"attempt", call.attempt}, Field{"target", call.target.Node},
 		Field{"outcome", outcome}, Field{"reason", reason}, Field{"pause", delay}, Field{"time_left", call.deadline - s.now})
 	s.setPhase(call, ingressBackoff)
+	call.hasWaited = true
 	s.timers.set(timerKey{kind: timerIngressRetry, call: call.handle}, s.now+delay)
 }
 
--- a/reducer/rollout/decider.go
+++ b/reducer/rollout/decider.go
@@ -7,14 +7,12 @@
 
 // Member is a node that may send calls to the service, as the decider knows it.
 type Member struct {
-	ID          string
-	Zone        string
-	Unreachable bool   // it is suspect, or behind a partition
-	Version     string // of the upstream beside it
-	Serves      bool   // that upstream is of the service and takes calls
-	Dead        bool   // it counts as dead
-	Ended       bool   // its process has ended for certain
-	DeadFor     time.Duration
+	ID      string
+	Version string // of the upstream beside it
+	Serves  bool   // that upstream is of the service and takes calls
+	Dead    bool   // it counts as dead
+	DeadFor time.Duration
+	Ended   bool // its process has ended for certain
 }
 
 // Situation is what the decider knows of the mesh when it decides.
@@ -132,8 +130,9 @@
 // Observe notes a report of a node.
 func (d *Decider) Observe(now time.Duration, node, zone string, r Report) {
 	d.nodes[node] = reported{revision: r.Revision, oldCalls: r.OldCalls, at: now}
-	if r.Serves {
-		d.evidence.Add(now, zone, r.Upstream == d.held.Update.Version, r.Routes)
+	u := d.held.Update
+	if isNew := r.Upstream == u.Version; r.Serves && (isNew || r.Upstream == u.From || r.Upstream == "") {
+		d.evidence.Add(now, zone, isNew, r.Routes)
 	}
 }
 
--- a/reducer/rollout_lead.go
+++ b/reducer/rollout_lead.go
@@ -228,8 +228,7 @@
 			continue
 		}
 		situation.Members = append(situation.Members, rollout.Member{
-			ID: string(m.Node), Zone: m.Zone, Unreachable: m.State == MemberLost || m.State == MemberSuspect,
-			Version: m.Upstream.Version, Serves: m.serves(u.Service),
+			ID: string(m.Node), Version: m.Upstream.Version, Serves: m.serves(u.Service),
 			Dead: m.State == MemberDead, Ended: s.rollouts.ended[m.Node] == m.Incarnation, DeadFor: s.now - s.members.endedAt[m.Node],
 		})
 	}
--- a/reducer/rollout_state.go
+++ b/reducer/rollout_state.go
@@ -12,10 +12,11 @@
 	// version that is bad under all calls gets 10 in 1,000 of a roll-out of 12 s in 100 ms.
 	rolloutTick = 250 * time.Millisecond
 	leadTick    = 50 * time.Millisecond
-	// rolloutReadInterval is how often a reader reads the orders although no watch reported a change: a list may be stale
-	// by seconds. openReadInterval is the same while an order is open.
-	rolloutReadInterval = 5 * time.Second
+	// rolloutReadInterval is how often a reader reads the orders although no watch reported a change. openReadInterval is
+	// the same while an order is open and, staleReads times, after a change: a list may be stale by seconds.
+	rolloutReadInterval = 15 * time.Second
 	openReadInterval    = 500 * time.Millisecond
+	staleReads          = 6
 	// rolloutFetchInterval is how often a node asks a peer for states that it lacks, and stateSilence how long the state of
 	// a running roll-out is not repeated before it does.
 	rolloutFetchInterval = 500 * time.Millisecond
@@ -36,6 +37,7 @@
 	readAt, watchAt time.Duration // earliest times of the next calls
 	readAgain       bool          // the read in flight may have missed a change
 	revision        uint64        // of the store, after which the next watch starts
+	readsLeft       int           // reads after a change that follow soon
 	hasRead         bool
 	fetchedAt       time.Duration
 	ended           map[NodeID]Incarnation // nodes whose address refused a connection
@@ -126,7 +128,7 @@
 		r.watch.recordSuccess()
 		r.watchAt = s.now + openReadInterval
 		if in.Revision > r.revision {
-			r.revision = in.Revision
+			r.revision, r.readsLeft = in.Revision, staleReads
 			s.readRolloutsNow()
 		}
 	case StoreHistoryGone:
@@ -158,8 +160,8 @@
 	}
 	r.view.SetSynced()
 	r.readAt = s.now + rolloutReadInterval
-	if s.leadOpenOrders() {
-		r.readAt = s.now + openReadInterval
+	if s.leadOpenOrders() || r.readsLeft > 0 {
+		r.readAt, r.readsLeft = s.now+openReadInterval, max(r.readsLeft-1, 0)
 	}
 	if r.readAgain {
 		r.readAt, r.readAgain = s.now, false
