reducer, reducer/balance, tables: choice of an upstream by expected completion

Cause: the choice compared expected waits, which are 0 while a slot is free, so that a fast and a slow upstream looked alike.

Change: where learned service times at the slowest quarter of the upstreams are 1.5 times those at the fastest, or the pool says balance = speed, the wait plus the upstream's own service time is compared. Slots in use count, and a call goes to another zone only if it saves half a service time.

--- a/operator/faults.go
+++ b/operator/faults.go
@@ -14,7 +14,7 @@
 // Known keys of the tables, for messages about unknown keys.
 const (
 	routeKeys = "host, path, methods, pool, priority, idempotent, timeout, retries, key_retention, max_body_bytes, split, target_latency, streaming"
-	poolKeys  = "service, queue_limit, ramp, min_share.0 to min_share.7"
+	poolKeys  = "service, queue_limit, ramp, balance, max_connections, min_share.0 to min_share.7"
 )
 
 // CheckTables checks new tables and returns one line per fault, with file, section, key and what was expected. It is
--- a/reducer/choose.go
+++ b/reducer/choose.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/balance"
 )
 
 // Parameters of load balancing.
@@ -23,6 +25,7 @@
 	hasReport       bool
 	inFlight        int
 	sentSinceReport int // attempts sent since the last report
+	pace            balance.Pace
 	outlier         outlierState
 	incarnation     Incarnation
 	servingSince    time.Duration
@@ -46,7 +49,7 @@
 // updateServing records since when the current incarnation of an upstream has been serving.
 func (l *upstreamLoad) updateServing(m Member, serves bool, now time.Duration) {
 	if serves && (!l.serving || l.incarnation != m.Incarnation) {
-		l.servingSince = now
+		l.servingSince, l.pace = now, balance.Pace{}
 	}
 	l.serving, l.incarnation = serves, m.Incarnation
 }
@@ -67,6 +70,7 @@
 	subset  []*servingUpstream
 	ranking []Member
 	weights []weightedUpstream
+	speed   map[string]*balance.Mode // by service
 }
 
 // servingUpstreams returns the serving upstreams of a service, ordered by node. The caller must not modify the slice.
@@ -108,20 +112,19 @@
 	if len(usable) == 0 {
 		return Member{}, ReasonNoUpstream
 	}
-	return s.pickLowestCost(usable, call.route.Priority, pool.Ramp).Member, ReasonNone
+	return s.pickLowestCost(usable, s.criteriaFor(pool, call.route.Priority)).Member, ReasonNone
 }
 
-// pickLowestCost samples each distance group and returns the upstream with the lowest sum of expected wait and spill
-// margin. Ties go to the nearer group.
-func (s *State) pickLowestCost(upstreams []*servingUpstream, priority int, ramp time.Duration) *servingUpstream {
+// pickLowestCost samples each distance group and returns the upstream with the lowest sum of cost and zone margin. Ties go to the nearer group.
+func (s *State) pickLowestCost(upstreams []*servingUpstream, c criteria) *servingUpstream {
 	var best *servingUpstream
 	var lowest time.Duration
 	for _, group := range s.groupByDistance(upstreams) {
 		if len(group) == 0 {
 			continue
 		}
-		u := s.pickInGroup(group, priority, ramp)
-		cost := s.penalizedWait(u, priority) + s.spillMargin(u.Zone)
+		u := s.pickInGroup(group, c)
+		cost := s.choiceCost(u, c) + s.zoneMargin(u.Zone, c)
 		if best == nil || cost < lowest {
 			best, lowest = u, cost
 		}
@@ -174,20 +177,20 @@
 	return *groups
 }
 
-// pickLessLoaded samples two upstreams at random and returns the one with the lower expected wait. Ties go to the one with
+// pickLessLoaded samples two upstreams at random and returns the one with the lower cost. Ties go to the one with
 // fewer calls of this node in flight per slot.
-func (s *State) pickLessLoaded(upstreams []*servingUpstream, priority int, ramp time.Duration) *servingUpstream {
+func (s *State) pickLessLoaded(upstreams []*servingUpstream, c criteria) *servingUpstream {
 	if len(upstreams) == 1 {
 		return upstreams[0]
 	}
-	i := s.sampleUpstream(upstreams, ramp)
-	j := s.sampleUpstream(upstreams, ramp)
+	i := s.sampleUpstream(upstreams, c.ramp)
+	j := s.sampleUpstream(upstreams, c.ramp)
 	if i == j {
 		j = (i + 1 + s.random(len(upstreams)-1)) % len(upstreams)
 	}
 	a, b := upstreams[i], upstreams[j]
-	waitA, waitB := s.penalizedWait(a, priority), s.penalizedWait(b, priority)
-	if waitB < waitA || waitB == waitA && s.isBusier(a, b) {
+	costA, costB := s.choiceCost(a, c), s.choiceCost(b, c)
+	if costB < costA || costB == costA && s.isBusier(a, b) {
 		return b
 	}
 	return a
--- a/reducer/eject.go
+++ b/reducer/eject.go
@@ -108,6 +108,7 @@
 	if in.Result == ForwardAnswered {
 		load.report, load.reportedAt, load.hasReport = in.Load, s.now, true
 		load.sentSinceReport = 0
+		load.observePace(&in.Load)
 		s.observeDistance(call, in.Took)
 	}
 	load.outlier.observe(classifyForward(in), s.now)
--- a/reducer/hedge.go
+++ b/reducer/hedge.go
@@ -47,7 +47,7 @@
 	if len(targets) == 0 || !s.takeRetry(call) {
 		return false
 	}
-	next := s.pickLessLoaded(targets, call.route.Priority, pool.Ramp)
+	next := s.pickLessLoaded(targets, s.criteriaFor(pool, call.route.Priority))
 	s.logCall(call, "attempt is slow, another one starts beside it", Field{"attempt", call.attempt}, Field{"target", call.target.Node},
 		Field{"waited", s.now - call.sentAt}, Field{"expected", call.expectedDuration}, Field{"next", next.Node}, Field{"time_left", call.deadline - s.now})
 	call.hedged, call.lastReason = true, ReasonDeadline
--- a/reducer/members.go
+++ b/reducer/members.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/balance"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -55,6 +56,7 @@
 	m.loads = map[NodeID]*upstreamLoad{}
 	m.distances = map[string]zoneDistance{}
 	m.choice.serving = map[string][]*servingUpstream{}
+	m.choice.speed = map[string]*balance.Mode{}
 	m.overlay.init()
 	m.detector.init()
 	m.put(Member{
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -24,6 +24,7 @@
 	Load           LoadReport
 	Calls          int // calls that entered at this node and have no response yet
 	Records        int // execution records
+	SpeedBalances  []SpeedBalance
 }
 
 func (s *State) status() Status {
@@ -37,5 +38,6 @@
 		Members:        append([]Member(nil), s.members.sorted()...),
 		Backend:        s.members.table[s.cfg.Self].Upstream,
 		Load:           s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
+		SpeedBalances: s.speedBalances(),
 	}
 }
--- a/reducer/subset.go
+++ b/reducer/subset.go
@@ -1,7 +1,5 @@
 package reducer
 
-import "time"
-
 // subsetSize is the number of upstreams of a service, in this node's zone and again in all others together, to which a node
 // sends calls while they are not busy.
 //
@@ -61,7 +59,7 @@
 
 // pickInGroup picks an upstream of a distance group: one of the subset or, if the one picked there is busy, a less busy one
 // of the whole group.
-func (s *State) pickInGroup(group []*servingUpstream, priority int, ramp time.Duration) *servingUpstream {
+func (s *State) pickInGroup(group []*servingUpstream, c criteria) *servingUpstream {
 	subset := s.members.choice.subset[:0]
 	for _, u := range group {
 		if u.preferred {
@@ -70,15 +68,14 @@
 	}
 	s.members.choice.subset = subset
 	if len(subset) == 0 || len(subset) == len(group) {
-		return s.pickLessLoaded(group, priority, ramp)
+		return s.pickLessLoaded(group, c)
 	}
-	u := s.pickLessLoaded(subset, priority, ramp)
-	wait := s.penalizedWait(u, priority)
-	if wait <= minSpillMargin {
+	u := s.pickLessLoaded(subset, c)
+	if s.penalizedWait(u, c.priority) <= minSpillMargin {
 		return u
 	}
-	other := s.pickLessLoaded(group, priority, ramp)
-	if s.penalizedWait(other, priority)+minSpillMargin < wait {
+	other := s.pickLessLoaded(group, c)
+	if s.choiceCost(other, c)+minSpillMargin < s.choiceCost(u, c) {
 		return other
 	}
 	return u
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -32,6 +32,8 @@
 	familyPlatform     = "rosemaryhatch_platform_calls_total"
 	familyEventTime    = "rosemaryhatch_reducer_event_seconds"
 	familyQueueLength  = "rosemaryhatch_event_queue_length"
+	familyBySpeed      = "rosemaryhatch_balance_by_speed"
+	familySpeedRatio   = "rosemaryhatch_speed_ratio_percent"
 	familyLogDropped   = "rosemaryhatch_log_lines_dropped_total"
 	familySpanFailures = "rosemaryhatch_span_export_failures_total"
 )
@@ -213,6 +215,14 @@
 		gauge := m.gauge("%s{state=%q}", familyMembers, member.State)
 		gauge.Update(gauge.Value() + 1)
 	}
+	for _, b := range status.SpeedBalances {
+		enabled := int64(0)
+		if b.Enabled {
+			enabled = 1
+		}
+		m.gauge("%s{service=%q}", familyBySpeed, b.Service).Update(enabled)
+		m.gauge("%s{service=%q}", familySpeedRatio, b.Service).Update(int64(100 * b.Ratio))
+	}
 	m.gauge(familyInvalid).Update(int64(len(status.InvalidEntries)))
 	m.gauge(familyUnsupported).Update(int64(len(status.Unsupported)))
 	m.gauge("%s{kind=%q}", familyRejected, "older").Update(int64(status.Refusals.Older))
--- a/tables/check.go
+++ b/tables/check.go
@@ -245,6 +245,19 @@
 	}
 }
 
+func (s *section) balance() Balance {
+	switch text := s.text("balance", "auto"); text {
+	case "auto":
+	case "slots":
+		return BalanceSlots
+	case "speed":
+		return BalanceSpeed
+	default:
+		s.addFault("balance", "is %q, expected auto, slots or speed", text)
+	}
+	return BalanceAuto
+}
+
 func (s *section) rejectUnknownKeys() {
 	for _, key := range s.ini.Keys() {
 		if !s.used[key.Name()] {
@@ -260,6 +273,7 @@
 			Service:    s.required("service"),
 			QueueLimit: int(s.integer("queue_limit", DefaultQueueLimit, 1, MaxQueueLimit)),
 			Ramp:       s.duration("ramp", DefaultRamp, 0, MaxRamp),
+			Balance:    s.balance(),
 
 			MaxConnections: int(s.integer("max_connections", 0, 1, 1<<20)),
 		}
--- a/tables/snapshot.go
+++ b/tables/snapshot.go
@@ -56,10 +56,21 @@
 	MinShares  [Priorities]int // percent of slot time that each priority is guaranteed under overload
 	QueueLimit int             // maximum number of calls that wait at one upstream
 	Ramp       time.Duration   // duration of the slow start of a newly registered upstream
+	Balance    Balance
 	// MaxConnections is the number of connections that an upstream accepts from all callers together; 0 if unknown.
 	MaxConnections int
 }
 
+// Balance says how the upstreams of a pool are compared when a call is sent.
+type Balance uint8
+
+// The ways to compare upstreams. Each corrects for failures and for the distance between zones.
+const (
+	BalanceAuto  Balance = iota // by wait until their learned speeds differ clearly, then by completion
+	BalanceSlots                // by the expected wait for a slot
+	BalanceSpeed                // by the expected completion: the wait and the service time
+)
+
 // Limits holds limits on what callers may send. A field that is 0 leaves the node's own limit in place.
 type Limits struct {
 	HeaderBytes   int
