--- a/operator/faults.go
+++ b/operator/faults.go
@@ -15,7 +15,7 @@
 const (
 	routeKeys     = "host, path, methods, pool, priority, idempotent, timeout, retries, key_retention, max_body_bytes, split, target_latency, streaming, upload, public"
 	workspaceKeys = "keys, priority, rate, burst"
-	poolKeys      = "service, queue_limit, ramp, max_connections, min_share.0 to min_share.7"
+	poolKeys      = "service, queue_limit, ramp, balance, max_connections, min_share.0 to min_share.7"
 )
 
 // CheckTables checks new tables and returns one line per fault, with file, section, key and what was expected. It is
--- a/reducer/eject.go
+++ b/reducer/eject.go
@@ -109,6 +109,7 @@
 		load.report, load.reportedAt, load.hasReport = in.Load, s.now, true
 		load.sentSinceReport, load.linkBytesSent, load.uploadBytesSent = 0, 0, 0
 		s.observeLinkUse(call, in)
+		load.observePace(&in.Load)
 		s.observeDistance(call, in.Took)
 	}
 	load.outlier.observe(classifyForward(in), s.now)
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -25,6 +25,7 @@
 	Calls          int    // calls that entered at this node and have no response yet
 	Records        int    // execution records
 	LinkRefusals   uint64 // calls that were refused because of the link
+	SpeedBalances  []SpeedBalance
 }
 
 func (s *State) status() Status {
@@ -38,6 +39,7 @@
 		Members:        append([]Member(nil), s.members.sorted()...),
 		Backend:        s.members.table[s.cfg.Self].Upstream,
 		Load:           s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
-		LinkRefusals: s.links.refused,
+		LinkRefusals:  s.links.refused,
+		SpeedBalances: s.speedBalances(),
 	}
 }
