reducer/bandwidth: one body gets at most every second chunk of a busy link

Over sockets 4 to 13 of some 215 accepted downloads missed their time, all of them large: their parts are asked for one after another, so that other bodies get the chunks between. A body now counts with twice its own bytes; those ahead of it count once.

--- a/node/upload_test.go
+++ b/node/upload_test.go
@@ -32,6 +32,12 @@
 idempotent = no
 upload = yes
 timeout = 60s
+[route download]
+path = /download
+pool = stitchroom
+idempotent = yes
+streaming = yes
+timeout = 3s
 [route lookup]
 path = /lookup
 pool = stitchroom
@@ -71,6 +77,12 @@
 	first := run("n1", false)
 	second := run("n2", true, first.Peers)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var size int
+		if _, err := fmt.Sscanf(r.URL.Path, "/download/%d", &size); err == nil {
+			time.Sleep(30 * time.Millisecond)
+			w.Write(make([]byte, size))
+			return
+		}
 		n, _ := io.Copy(io.Discard, r.Body)
 		fmt.Fprint(w, n)
 	}))
--- a/reducer/bandwidth/link.go
+++ b/reducer/bandwidth/link.go
@@ -17,6 +17,9 @@
 	// lengthDeviations is the safety margin of a body's length, in mean absolute deviations: of exponentially distributed
 	// lengths 2 in 100 are longer. Bodies before it are not given one, because their differences cancel out.
 	lengthDeviations = 4
+	// soloShare is by how much longer a body takes than its bytes: its parts are asked for one after another, so that it
+	// gets at most every second chunk of a busy link.
+	soloShare = 2
 	// maxRoutes bounds the routes with an expected length. A further route takes the place of the one that is stale longest.
 	maxRoutes = 1024
 	// staleAfter is the time without a body after which the length of a route is unknown again: a route that is refused
@@ -145,21 +148,21 @@
 
 // Carries reports whether the link carries a body of a known length within left, behind all that is promised.
 func (l *Link) Carries(bytes int64, left, now time.Duration) bool {
-	return !l.Enabled() || l.Backlog(now)+l.Time(bytes) <= left
+	return !l.Enabled() || l.Backlog(now)+l.Time(soloShare*bytes) <= left
 }
 
 // fits reports whether a body can leave within left after a wait. The margin takes at most half of the time beyond the body's
 // own, so that a route with widely varying lengths is served.
 func (l *Link) fits(route string, bytes int64, wait, left time.Duration) bool {
-	spare := left - l.Time(bytes)
-	return wait <= spare-min(l.Time(l.margin(route)), spare/2)
+	spare := left - l.Time(soloShare*bytes)
+	return wait <= spare-min(l.Time(soloShare*l.margin(route)), spare/2)
 }
 
 // AdmitsStart is Admits for a call that was promised and is about to begin. Calls that have not begun leave after it, and it
 // needs no margin, because the wait is over.
 func (l *Link) AdmitsStart(call uint64, after, left, now time.Duration) bool {
 	bytes := l.promises[call].bytes
-	return bytes == 0 || max(l.startedBacklog(now), after)+l.Time(bytes) <= left
+	return bytes == 0 || max(l.startedBacklog(now), after)+l.Time(soloShare*bytes) <= left
 }
 
 // Promise keeps bytes for the body of a call until Start, Complete or Release.
