reducer: only load holds requests back, and only requests of callers are held back

Only refusals and time-outs by load count. Nested calls are not held back; a response with 500 of a server whose nested calls fail counts as a failed call instead.

--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -78,6 +78,8 @@
 	earlier *earlierAttempt
 	nested  bool           // see noteNested
 	madeBy  []nested.Share // probabilities of the routes whose requests may have made a nested call
+	// failedBelow is set when a response is a failure because of the calls that the backend server made.
+	failedBelow bool
 }
 
 // ingressState holds the calls that entered at this node and have not finished.
@@ -378,6 +380,7 @@
 	}
 	s.observeForward(call, in)
 	s.learnFromReport(call, &in.Load)
+	call.failedBelow = in.Load.Withheld > 0 && in.Status >= failureStatus
 	s.chargeRetries(call, in.RetriesUsed)
 	switch in.Result {
 	case ForwardAnswered:
--- a/reducer/nested/holdback.go
+++ b/reducer/nested/holdback.go
@@ -39,6 +39,7 @@
 
 // Finished counts the end of a nested call that was made with the given probability by a request of a route.
 func (h *Holdback) Finished(now time.Duration, route string, weight float64, failed bool) {
+	h.Admitted(now, route) // takes the steps that are due, which this call must not count in
 	entry := h.routes[route]
 	if entry == nil {
 		if !failed || len(h.routes) >= maxRoutes {
--- a/reducer/nested_calls.go
+++ b/reducer/nested_calls.go
@@ -61,24 +61,20 @@
 	if !call.nested {
 		return
 	}
-	failed := outcome != OutcomeDone && failsOuterCall(call, reason, s.now)
+	failed := call.failedBelow || outcome != OutcomeDone && call.failsByLoad(reason, s.now)
 	for _, caller := range call.madeBy {
 		s.nested.holdback.Finished(s.now, caller.Name, caller.Value, failed)
 	}
 }
 
-// failsOuterCall reports whether a nested call without a response fails because its target cannot serve it now. A caller
-// that leaves when nearly no time is left has waited in vain.
-func failsOuterCall(call *ingressCall, reason Reason, now time.Duration) bool {
-	switch reason {
-	case ReasonNoRoute, ReasonBodyTooLarge, ReasonBodyIncomplete, ReasonTooDeep, ReasonUnsupportedRoute, ReasonUnknownKey,
-		ReasonQuotaExceeded, ReasonResponseTooLarge:
-		return false
-	case ReasonCallerGone:
-		return call.deadline-now < (call.deadline-call.arrivedAt)/10
-	default:
-		return true
+// failsByLoad reports whether a nested call without a response fails because of load. Other failures, such as those of a
+// faulty upstream, end by ejection and retries, and holding requests back would not help. A caller that leaves when nearly
+// no time is left has waited in vain.
+func (c *ingressCall) failsByLoad(reason Reason, now time.Duration) bool {
+	if reason == ReasonCallerGone {
+		return c.deadline-now < (c.deadline-c.arrivedAt)/10
 	}
+	return isOverloadRefusal(reason) || reason == ReasonOverloaded || reason == ReasonNestedFailing
 }
 
 // learnOrigin counts a forwarded call for the question whether its route is nested. A node without a backend server makes no
@@ -155,8 +151,13 @@
 	return reported.admitted
 }
 
-// isWithheld reports whether a new call is refused at this node because its nested calls could not be served now.
+// isWithheld reports whether a new call is refused at this node because its nested calls could not be served now. A nested
+// call is not: its failures hold back the requests of callers that make it, and refusals at each level of a call tree would
+// multiply.
 func (s *State) isWithheld(call *ingressCall) bool {
+	if call.nested {
+		return false
+	}
 	admitted := s.admittedShare(call.route.Name)
 	return admitted < 1 && s.random(100) >= int(100*admitted)
 }
@@ -168,17 +169,17 @@
 		s.log(LevelInfo, "requests whose nested calls fail are held back", Field{"route", call.route}, Field{"admitted", admitted},
 			Field{"failed", s.nested.holdback.FailShare(call.route)})
 	}
-	return admitted < 1 && s.random(100) >= int(100*admitted)
+	return admitted < 1 && !call.nested && s.random(100) >= int(100*admitted)
 }
 
-// failsByNested reports whether a response of the backend server is a failure while the calls that it makes for requests of
-// the same route fail, which is not its fault.
-func (s *State) failsByNested(call *targetCall, in BackendRequestDone) bool {
-	if in.Status < failureStatus {
-		return false
+// noteFailedBelow reports whether a response of the backend server to a local call is a failure while the calls that it makes
+// for requests of the same route fail, which is not its fault.
+func (s *State) noteFailedBelow(call *targetCall, in BackendRequestDone) bool {
+	failed := in.Status >= failureStatus && s.nested.holdback.Admitted(s.now, call.route) < 1
+	if caller := s.ingress.calls[call.handle]; caller != nil {
+		caller.failedBelow = failed
 	}
-	admitted := s.nested.holdback.Admitted(s.now, call.route)
-	return admitted < 1
+	return failed
 }
 
 // withheldRetryAfter returns the time until all calls of a route are admitted again if its nested calls succeed, within the
--- a/reducer/nested_test.go
+++ b/reducer/nested_test.go
@@ -92,3 +92,32 @@
 		t.Errorf("a response with 500 of a server whose nested calls fail counts as %d", got)
 	}
 }
+
+// Guards against a holdback because of faulty upstreams, and against refusals at each level of a call tree: both together made
+// nearly all trees fail while a third of the upstreams were faulty.
+func TestOnlyLoadHoldsRequestsBack(t *testing.T) {
+	s := New(testTables(t, nestedRoutes, nestedPools))
+	end := func(outcome Outcome, reason Reason, failedBelow bool) float64 {
+		for range 20 {
+			call := &ingressCall{nested: true, failedBelow: failedBelow, madeBy: []nested.Share{{Name: "check", Value: 1}}}
+			s.noteNestedEnd(call, outcome, reason)
+		}
+		s.now += 110 * time.Millisecond
+		return s.nested.holdback.Admitted(s.now, "check")
+	}
+	if share := end(OutcomeUnknown, ReasonBackendFailed, false); share < 1 {
+		t.Errorf("%.2f are admitted after failures of the backend server, expected all", share)
+	}
+	if share := end(OutcomeNotRun, ReasonDeadline, false); share == 1 {
+		t.Error("nothing is held back after refusals under load")
+	}
+	s.now += 10 * time.Second
+	if share := end(OutcomeDone, ReasonNone, true); share == 1 {
+		t.Error("nothing is held back after responses that failed by calls further down")
+	}
+	for range 100 {
+		if s.isWithheldHere(&targetCall{route: "check", nested: true}) {
+			t.Fatal("a nested call is held back")
+		}
+	}
+}
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -235,7 +235,7 @@
 	case in.Result == BackendAborted:
 		q.service.addAborted(call.route, in.Elapsed, s.now)
 	}
-	if call.local && !s.failsByNested(call, in) {
+	if call.local && !s.noteFailedBelow(call, in) {
 		s.observeLocal(in)
 	}
 }
