reducer: Retry-After of workspaces is spread also when the wait is long

A hint at its limit left no room for the spread: callers refused in a long overload were all told the same time, and urgent ones were told to wait longer than others. Refusals because of failing nested calls were not spread.

--- a/reducer/fair_test.go
+++ b/reducer/fair_test.go
@@ -50,7 +50,9 @@
 func TestRetryAfterIsSpreadByUrgency(t *testing.T) {
 	s := newFairState(t)
 	s.now = time.Second
-	mean := func(priority int, timeout time.Duration) time.Duration {
+	mean := func(priority int, timeout, wait time.Duration) time.Duration {
+		s.noteWorkspaceWait(newFairCall(s, priority, timeout), &LoadReport{WorkspaceWait: wait})
+		s.now += earlyReportMaxAge + 1 // the next wait replaces this one
 		sum, hints := time.Duration(0), map[time.Duration]bool{}
 		for range 200 {
 			hint := s.retryAfter(newFairCall(s, priority, timeout), OutcomeNotRun, ReasonQueueFull)
@@ -64,8 +66,11 @@
 		}
 		return sum / 200
 	}
-	urgent, usual, waited := mean(0, 3*time.Second), mean(5, 3*time.Second), mean(5, 1500*time.Millisecond)
-	if urgent >= usual || waited >= usual {
-		t.Errorf("mean Retry-After: priority 0 %v, priority 5 %v, after a wait of 1.5 s %v", urgent, usual, waited)
+	for _, wait := range []time.Duration{0, time.Minute} {
+		urgent, usual, waited := mean(0, 3*time.Second, wait), mean(5, 3*time.Second, wait), mean(5, 1500*time.Millisecond, wait)
+		t.Logf("wait %v: mean Retry-After of priority 0 %v, of priority 5 %v, after 1.5 s %v", wait, urgent, usual, waited)
+		if urgent >= usual || waited >= usual {
+			t.Error("urgent callers, or those that have waited, are told to wait longer")
+		}
 	}
 }
--- a/reducer/nested_calls.go
+++ b/reducer/nested_calls.go
@@ -186,5 +186,9 @@
 // bounds of other hints.
 func (s *State) withheldRetryAfter(call *ingressCall) time.Duration {
 	limit := max((call.effectiveDeadline(s.now)-s.now)/retryAfterDivisor, minRetryAfter)
-	return min(max(nested.RegainTime(s.admittedShare(call.route.Name)), minRetryAfter), limit)
+	hint := min(max(nested.RegainTime(s.admittedShare(call.route.Name)), minRetryAfter), limit)
+	if s.sharesApply(call) {
+		return s.spreadRetryAfter(call, hint, limit)
+	}
+	return hint
 }
--- a/reducer/queue_fair.go
+++ b/reducer/queue_fair.go
@@ -239,5 +239,7 @@
 	left := float64(allowed) / float64(max(call.route.Timeout, allowed, 1))
 	rank := float64(call.route.Priority+1) / tables.Priorities
 	spread := time.Duration(returnSpread * rank * left * float64(limit))
-	return min(hint+spread/2+s.jitter(spread), max(limit, hint))
+	latest := time.Duration((1 - 1.5*returnSpread) * float64(limit)) // leaves room for the spread of the least urgent
+	earliest := max(min(hint, latest), minRetryAfter)
+	return min(earliest+spread/2+s.jitter(spread), max(limit, minRetryAfter))
 }
