--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -45,11 +45,11 @@
 	LateWait  []uint32 // the same for late calls, which are not expected to end by their due time
 	LeastTime []uint32 // shortest service time by priority
 
-	NestedWait  uint32 // as Wait, for nested calls
-	NestedTime  uint32 // as LeastTime, for nested calls
-	RouteNested uint8  // whether the route of the call is nested: 0 not known, 1 yes, 2 no
-	Withheld    int    // percentage of new calls of the route to refuse
-	SpaceWait   uint32 // as Wait, for calls of the workspace of the answered call
+	NestedWait    uint32 // as Wait, for nested calls
+	NestedTime    uint32 // as LeastTime, for nested calls
+	RouteNested   uint8  // whether the route of the call is nested: 0 not known, 1 yes, 2 no
+	Withheld      int    // percentage of new calls of the route to refuse
+	WorkspaceWait uint32 // as Wait, for calls of the workspace of the answered call
 }
 
 // loadTimeUnit is the unit of the times in a Load.
@@ -60,7 +60,7 @@
 		Service: wireLoadTime(l.ServiceTime), Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 		Wait: wireLoadTimes(l.Waits[:]), LateWait: wireLoadTimes(l.LateWaits[:]), LeastTime: wireLoadTimes(l.ShortestServiceTimes[:]),
 		NestedWait: wireLoadTime(l.NestedWait), NestedTime: wireLoadTime(l.NestedServiceTime), RouteNested: uint8(l.RouteNested), Withheld: l.Withheld,
-		SpaceWait: wireLoadTime(l.WorkspaceWait),
+		WorkspaceWait: wireLoadTime(l.WorkspaceWait),
 	}
 }
 
@@ -94,7 +94,7 @@
 	out := reducer.LoadReport{
 		ServiceTime: time.Duration(l.Service) * loadTimeUnit, Slots: l.Slots, Running: l.Running, Queued: l.Queued,
 		NestedWait: time.Duration(l.NestedWait) * loadTimeUnit, NestedServiceTime: time.Duration(l.NestedTime) * loadTimeUnit,
-		RouteNested: nested.Verdict(l.RouteNested), Withheld: l.Withheld, WorkspaceWait: time.Duration(l.SpaceWait) * loadTimeUnit,
+		RouteNested: nested.Verdict(l.RouteNested), Withheld: l.Withheld, WorkspaceWait: time.Duration(l.WorkspaceWait) * loadTimeUnit,
 	}
 	setLoadTimes(out.Waits[:], l.Wait)
 	setLoadTimes(out.LateWaits[:], l.LateWait)
