--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -45,13 +45,13 @@
 	LateWait  []uint32 // the same for late calls, which are not expected to end by their due time
 	LeastTime []uint32 // shortest service time by priority
 
-	NestedWait  uint32 // as Wait, for nested calls
-	NestedTime  uint32 // as LeastTime, for nested calls
-	RouteNested uint8  // whether the route of the call is nested: 0 not known, 1 yes, 2 no
-	Withheld    int    // percentage of new calls of the route to refuse
-	Link        uint32 // backlog of the instance's link; 0 if it is not known
-	LinkIn      uint32 // the same for bodies that it receives
-	SpaceWait   uint32 // as Wait, for calls of the workspace of the answered call
+	NestedWait    uint32 // as Wait, for nested calls
+	NestedTime    uint32 // as LeastTime, for nested calls
+	RouteNested   uint8  // whether the route of the call is nested: 0 not known, 1 yes, 2 no
+	Withheld      int    // percentage of new calls of the route to refuse
+	Link          uint32 // backlog of the instance's link; 0 if it is not known
+	LinkIn        uint32 // the same for bodies that it receives
+	WorkspaceWait uint32 // as Wait, for calls of the workspace of the answered call
 }
 
 // loadTimeUnit is the unit of the times in a Load.
@@ -63,7 +63,7 @@
 		Wait: wireLoadTimes(l.Waits[:]), LateWait: wireLoadTimes(l.LateWaits[:]), LeastTime: wireLoadTimes(l.ShortestServiceTimes[:]),
 		NestedWait: wireLoadTime(l.NestedWait), NestedTime: wireLoadTime(l.NestedServiceTime), RouteNested: uint8(l.RouteNested), Withheld: l.Withheld,
 		Link: wireLoadTime(l.LinkBacklog), LinkIn: wireLoadTime(l.LinkInBacklog),
-		SpaceWait: wireLoadTime(l.WorkspaceWait),
+		WorkspaceWait: wireLoadTime(l.WorkspaceWait),
 	}
 }
 
@@ -99,7 +99,7 @@
 		NestedWait: time.Duration(l.NestedWait) * loadTimeUnit, NestedServiceTime: time.Duration(l.NestedTime) * loadTimeUnit,
 		RouteNested: nested.Verdict(l.RouteNested), Withheld: l.Withheld,
 		LinkBacklog: time.Duration(l.Link) * loadTimeUnit, LinkInBacklog: time.Duration(l.LinkIn) * loadTimeUnit,
-		WorkspaceWait: time.Duration(l.SpaceWait) * loadTimeUnit,
+		WorkspaceWait: time.Duration(l.WorkspaceWait) * loadTimeUnit,
 	}
 	setLoadTimes(out.Waits[:], l.Wait)
 	setLoadTimes(out.LateWaits[:], l.LateWait)
