reducer, reducer/capacity, runner/backend: backend servers that are full below their slots

Cause: a backend server that resets or leaves requests without an answer when it is full got as many requests as it registered slots, and a request at most once kept its slot for 60 s after it hung.

Change: the node beside it learns a limit from 3 resets, 2 requests lost, or 4 overdue ones that are 40% of those running, and raises it again by a slot a second. Requests given up count as running for a while. At a backend server that hangs an idempotent request is ended after 3 times its expected time and retried elsewhere. Nothing is limited before the first case, and nothing that was sent is answered not_run.

--- a/reducer/backend.go
+++ b/reducer/backend.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// slots returns how many calls the backend server may run at one time. It grows from a tenth to all during the pool's
+// rampSlots returns how many calls the backend server may run by its registration. It grows from a tenth to all during the pool's
 // ramp, because a backend server that has just started is slow.
-func (s *State) slots() int {
+func (s *State) rampSlots() int {
 	b := &s.backend
 	if b.state != UpstreamReady {
 		return 0
@@ -76,7 +76,7 @@
 // nextSlotAt returns when the ramp adds the next slot, or false when it adds none.
 func (s *State) nextSlotAt() (time.Duration, bool) {
 	b := &s.backend
-	slots := s.slots()
+	slots := s.rampSlots()
 	if slots == 0 || slots >= b.declaredSlots {
 		return 0, false
 	}
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -146,6 +146,7 @@
 	}
 	if isNew || b.state != UpstreamReady && b.state != UpstreamDraining {
 		b.readySince = s.now
+		s.target.capacity.Forget()
 	}
 	r.incarnation, r.sequence, r.unconfirmed = incarnation, in.Sequence, nil
 	b.service, b.address, b.declaredSlots, b.instance = in.Service, in.Address, in.Slots, in.Instance
--- a/reducer/service.go
+++ b/reducer/service.go
@@ -1,6 +1,10 @@
 package reducer
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/capacity"
+)
 
 const (
 	// serviceWeight is the weight of the newest execution in the mean and the deviation.
@@ -24,6 +28,7 @@
 	deviation time.Duration // mean absolute deviation
 	updatedAt time.Duration // end of the newest execution
 	samples   int
+	answered  capacity.Expected // of answered executions alone
 }
 
 func (s *serviceStats) add(took, now time.Duration) {
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -25,6 +25,7 @@
 	Calls          int // calls that entered at this node and have no response yet
 	Records        int // execution records
 	SpeedBalances  []SpeedBalance
+	Capacity       BackendCapacity
 }
 
 func (s *State) status() Status {
@@ -38,6 +39,6 @@
 		Members:        append([]Member(nil), s.members.sorted()...),
 		Backend:        s.members.table[s.cfg.Self].Upstream,
 		Load:           s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
-		SpeedBalances: s.speedBalances(),
+		SpeedBalances: s.speedBalances(), Capacity: s.backendCapacity(),
 	}
 }
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/capacity"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -46,6 +47,9 @@
 	retriesUsed  int                // retries of calls made on its behalf
 	prev, next   *targetCall        // neighbours in the callList that holds it
 	streamDone   BackendRequestDone // in phase targetStreaming
+	occupancy    int                // requests at the backend server as it started, with abandoned ones that may still run there
+	expected     time.Duration      // service time of its route as it started, 0 when not known
+	hangNoted    bool               // it was counted as hung before its request ended
 
 	keyRetention time.Duration
 }
@@ -65,6 +69,7 @@
 	records     recordTable
 	responses   responseMemory
 	cancelled   cancelledCalls
+	capacity    capacity.Limiter
 }
 
 func (t *targetState) init() {
@@ -155,14 +160,11 @@
 	call.startedAt = s.now
 	s.target.queuedBytes -= call.bytes
 	s.target.running++
+	s.noteStart(call)
 	s.emit(CallQueued{Call: call.handle, Priority: call.priority, Wait: s.now - call.queuedAt})
 	left := call.deadline - s.now
-	timeout := left
-	if !call.idempotent {
-		timeout = tables.MaxTimeout
-	}
 	s.emit(StartBackendRequest{
-		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Timeout: timeout, ResponseTail: responseTail,
+		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Timeout: s.backendTimeout(call), ResponseTail: responseTail,
 		Limits: call.limits, KeepResponse: call.record != nil, Streaming: call.streaming, Workspace: call.workspace,
 	})
 }
@@ -181,6 +183,7 @@
 	s.accountForExecution(call, in)
 	s.removeTargetCall(call)
 	outcome, reason := backendOutcome(in.Result)
+	reason = s.abortReason(call, reason, in.Result)
 	s.completeCall(call, outcome, reason, in)
 	if in.Result == BackendMisdirected {
 		s.handleMisdirected()
@@ -217,6 +220,7 @@
 // towards those: a backend server that fails fast must not look fast.
 func (s *State) accountForExecution(call *targetCall, in BackendRequestDone) {
 	pool, _ := s.config.active.PoolOfService(s.backend.service)
+	s.observeCapacity(call, in.Result)
 	q := &s.target.queue
 	q.advance(s.now, s.slots(), pool)
 	q.accountEnd(call, in, s.slots(), pool)
@@ -307,6 +311,7 @@
 	}
 	s.answerCall(call, OutcomeUnknown, ReasonDeadline)
 	call.abandoned = true
+	s.observeExpired(call)
 	if call.idempotent {
 		s.emit(AbortBackendRequest{Call: call.handle})
 	}
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -34,6 +34,9 @@
 	familyQueueLength  = "rosemaryhatch_event_queue_length"
 	familyBySpeed      = "rosemaryhatch_balance_by_speed"
 	familySpeedRatio   = "rosemaryhatch_speed_ratio_percent"
+	familyLimit        = "rosemaryhatch_backend_limit"
+	familyResets       = "rosemaryhatch_backend_resets"
+	familyHung         = "rosemaryhatch_hung_connections"
 	familyLogDropped   = "rosemaryhatch_log_lines_dropped_total"
 	familySpanFailures = "rosemaryhatch_span_export_failures_total"
 )
@@ -223,6 +226,9 @@
 		m.gauge("%s{service=%q}", familyBySpeed, b.Service).Update(enabled)
 		m.gauge("%s{service=%q}", familySpeedRatio, b.Service).Update(int64(100 * b.Ratio))
 	}
+	m.gauge(familyLimit).Update(int64(status.Capacity.Limit))
+	m.gauge(familyResets).Update(int64(status.Capacity.Resets))
+	m.gauge(familyHung).Update(int64(status.Capacity.Hangs))
 	m.gauge(familyInvalid).Update(int64(len(status.InvalidEntries)))
 	m.gauge(familyUnsupported).Update(int64(len(status.Unsupported)))
 	m.gauge("%s{kind=%q}", familyRejected, "older").Update(int64(status.Refusals.Older))
