--- a/reducer/backend_capacity_test.go
+++ b/reducer/backend_capacity_test.go
@@ -16,6 +16,7 @@
 	hung               map[Handle]time.Duration // by the end of their timeout
 	sent, full, served int
 	notRun             int // answers not_run to calls that were sent
+	retryable          int // answers after which the ingress node tries another upstream, if the call is idempotent
 	started            map[Handle]bool
 }
 
@@ -53,6 +54,9 @@
 			if b.started[e.Call] && e.Outcome == OutcomeNotRun {
 				b.notRun++
 			}
+			if e.Outcome == OutcomeUnknown && e.Reason == ReasonBackendFailed {
+				b.retryable++
+			}
 		}
 	}
 }
@@ -109,6 +113,9 @@
 		if possible := int(30 * time.Second / fullWork * fullTakes); b.served < possible*3/4 {
 			t.Errorf("%s: %d requests were served, %d were possible", name, b.served, possible)
 		}
+		if b.hangs && b.idempotent && b.retryable == 0 {
+			t.Errorf("%s: no request that hung was ended in time for another attempt", name)
+		}
 		if b.notRun > 0 {
 			t.Errorf("%s: %d calls that were sent were answered not_run", name, b.notRun)
 		}
--- a/reducer/speed_test.go
+++ b/reducer/speed_test.go
@@ -72,3 +72,20 @@
 		}
 	}
 }
+
+// Guards against a choice by speed that is not enabled by what load reports say, or among upstreams that are equally fast.
+func TestLearnedSpeedsEnableChoiceBySpeed(t *testing.T) {
+	for _, speeds := range [][]time.Duration{{60, 100, 160}, {100, 100, 100}} {
+		s := newLargeNode(largeSnapshot(t), 0)
+		serving := s.servingUpstreams("s")
+		for i, u := range serving[:24] {
+			for range 16 {
+				u.load.observePace(&LoadReport{ServiceTime: speeds[i%len(speeds)] * time.Millisecond})
+			}
+		}
+		pool, _ := s.config.active.Pool("p")
+		if got, want := s.criteriaFor(pool, 0).speed != nil, speeds[0] != speeds[1]; got != want {
+			t.Errorf("service times %v ms: choice by speed is %v, expected %v", speeds, got, want)
+		}
+	}
+}
