--- a/reducer/status.go
+++ b/reducer/status.go
@@ -26,6 +26,7 @@
 	Records        int    // execution records
 	LinkRefusals   uint64 // calls that were refused because of the link
 	SpeedBalances  []SpeedBalance
+	Capacity       BackendCapacity
 }
 
 func (s *State) status() Status {
@@ -40,6 +41,6 @@
 		Backend:        s.members.table[s.cfg.Self].Upstream,
 		Load:           s.loadReport(), Calls: len(s.ingress.calls), Records: s.target.records.len(),
 		LinkRefusals:  s.links.refused,
-		SpeedBalances: s.speedBalances(),
+		SpeedBalances: s.speedBalances(), Capacity: s.backendCapacity(),
 	}
 }
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/capacity"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/fairshare"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
@@ -49,6 +50,9 @@
 	retriesUsed  int                // retries of calls made on its behalf
 	prev, next   *targetCall        // neighbours in the callList that holds it
 	streamDone   BackendRequestDone // in phase targetStreaming
+	occupancy    int                // requests at the backend server as it started, with abandoned ones that may still run there
+	expected     time.Duration      // service time of its route as it started, 0 when not known
+	hangNoted    bool               // it was counted as hung before its request ended
 
 	keyRetention time.Duration
 }
@@ -68,6 +72,7 @@
 	records     recordTable
 	responses   responseMemory
 	cancelled   cancelledCalls
+	capacity    capacity.Limiter
 }
 
 func (t *targetState) init() {
@@ -165,14 +170,11 @@
 	s.target.queuedBytes -= call.bytes
 	s.target.running++
 	s.nested.callers.Started(s.now, call.route)
+	s.noteStart(call)
 	s.emit(CallQueued{Call: call.handle, Priority: call.priority, Wait: s.now - call.queuedAt})
 	left := call.deadline - s.now
-	timeout := left
-	if !call.idempotent {
-		timeout = tables.MaxTimeout
-	}
 	s.emit(StartBackendRequest{
-		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Timeout: timeout, ResponseTail: responseTail,
+		Call: call.handle, ID: call.id, Address: s.backend.address, Instance: s.backend.instance, TimeLeft: left, Timeout: s.backendTimeout(call), ResponseTail: responseTail,
 		Limits: call.limits, KeepResponse: call.record != nil, Streaming: call.streaming, Workspace: call.workspace,
 	})
 }
@@ -192,6 +194,7 @@
 	s.accountForExecution(call, in)
 	s.removeTargetCall(call)
 	outcome, reason := backendOutcome(in.Result)
+	reason = s.abortReason(call, reason, in.Result)
 	s.completeCall(call, outcome, reason, in)
 	if in.Result == BackendMisdirected {
 		s.handleMisdirected()
@@ -229,6 +232,7 @@
 func (s *State) accountForExecution(call *targetCall, in BackendRequestDone) {
 	pool, _ := s.config.active.PoolOfService(s.backend.service)
 	s.nested.callers.Ended(s.now, call.route)
+	s.observeCapacity(call, in.Result)
 	q := &s.target.queue
 	q.advance(s.now, s.slots(), pool)
 	q.accountEnd(call, in, s.slots(), pool)
@@ -320,6 +324,7 @@
 	}
 	s.answerCall(call, OutcomeUnknown, ReasonDeadline)
 	call.abandoned = true
+	s.observeExpired(call)
 	if call.idempotent {
 		s.emit(AbortBackendRequest{Call: call.handle})
 	}
