reducer: a response that is lost after its run does not make a backend server full

Only a reset within a quarter of the expected time of the route counts. TestLostResponsesDoNotLimitTheBackend failed before.

--- a/reducer/backend_capacity.go
+++ b/reducer/backend_capacity.go
@@ -12,6 +12,15 @@
 // the waking of threads on a busy one.
 const resetTime = 50 * time.Millisecond
 
+// resetDivisor is the part of the expected time of its route by which a request must have been reset to count as refused by a
+// full backend server. One whose connection fails later may have run and lost its response.
+const resetDivisor = 4
+
+// wasResetAtOnce reports whether a request that failed was reset before it can have run.
+func (c *targetCall) wasResetAtOnce(now time.Duration) bool {
+	return now-c.startedAt <= min(resetTime, c.expected/resetDivisor)
+}
+
 // BackendCapacity is what this node has learned of the capacity of its backend server, for status and metrics.
 type BackendCapacity struct {
 	Limit         int // requests at one time, 0 when nothing was learned
@@ -76,7 +85,7 @@
 	case result == BackendAnswered:
 		stats.answered.Answered(s.now, s.now-call.startedAt)
 		s.noteCapacity(call, capacity.Answered)
-	case result == BackendFailed && s.now-call.startedAt <= resetTime:
+	case result == BackendFailed && call.wasResetAtOnce(s.now):
 		s.noteCapacity(call, capacity.Reset)
 	case result == BackendAborted:
 		s.target.capacity.Abandon(s.now, call.cost)
--- a/reducer/backend_capacity_test.go
+++ b/reducer/backend_capacity_test.go
@@ -206,3 +206,20 @@
 		}
 	}
 }
+
+// Guards against a backend server that is limited because the responses of requests that it has run are lost by resets: it is
+// not full, and the calls that it could serve would be refused.
+func TestLostResponsesDoNotLimitTheBackend(t *testing.T) {
+	b := newFullBackend(t, false, true)
+	b.run(time.Second) // its expected time is known, and it is full at times
+	b.state.target.capacity.Forget()
+	before := b.state.target.capacity.Resets
+	for i := range 200 {
+		call := &targetCall{route: "r", expected: fullWork, startedAt: b.now, occupancy: fullTakes}
+		b.state.now = b.now + fullWork*time.Duration(5+i%5)/10 // its response is lost at the end of the execution
+		b.state.observeCapacity(call, BackendFailed)
+	}
+	if limit := b.state.target.capacity.Limit(b.state.now, fullSlots); limit != 0 || b.state.target.capacity.Resets != before {
+		t.Errorf("%d requests are allowed after lost responses, expected all %d", limit, fullSlots)
+	}
+}
