--- a/reducer/capacity/limiter.go
+++ b/reducer/capacity/limiter.go
@@ -3,6 +3,7 @@
 package capacity
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -58,7 +59,7 @@
 	limitedAt time.Duration
 	fullAt    int // requests at which the backend server was full
 	hanging   bool
-	ends      [window]Result
+	ends      [window]end
 	count     int // of ends since the last reduction
 	lost      int // requests that were lost since the last reduction, each within lostWithin of the one before
 	lostAt    time.Duration
@@ -103,13 +104,13 @@
 		}
 		l.lost, l.lostAt = l.lost+1, now
 	}
-	l.ends[l.count%window] = result
+	l.ends[l.count%window] = end{result, occupancy}
 	l.count++
 	if result == Answered || l.limit > 0 && now-l.limitedAt < lowerInterval {
 		return false
 	}
 	hangs := l.lost >= lostToFull || result == Hung && overdue >= overdueToFull && overdue*100 >= occupancy*overduePercent
-	if l.countResets() < resetsToFull && !hangs {
+	if !l.resetsAtTheTop() && !hangs {
 		return false
 	}
 	before := l.limitNow(now, slots)
@@ -119,13 +120,26 @@
 	return l.limit < before
 }
 
-func (l *Limiter) countResets() (n int) {
-	for _, r := range l.ends[:min(l.count, window)] {
-		if r == Reset {
-			n++
+// end is how a request ended, and how many ran as it started.
+type end struct {
+	result    Result
+	occupancy int
+}
+
+// resetsAtTheTop reports whether enough of the newest requests were reset, and all of these started while more were running
+// than when any of the answered ones did. Requests that fail for another reason also fail while few are running.
+func (l *Limiter) resetsAtTheTop() bool {
+	resets, lowestReset, highestAnswered := 0, math.MaxInt, 0
+	for _, e := range l.ends[:min(l.count, window)] {
+		switch e.result {
+		case Reset:
+			resets++
+			lowestReset = min(lowestReset, e.occupancy)
+		case Answered:
+			highestAnswered = max(highestAnswered, e.occupancy)
 		}
 	}
-	return n
+	return resets >= resetsToFull && highestAnswered > 0 && lowestReset > highestAnswered
 }
 
 // limitNow returns the limit with what was added to it since the last reduction, at most slots.
