--- a/reducer/links.go
+++ b/reducer/links.go
@@ -11,6 +11,22 @@
 // the pause between two answers of a node.
 const linkSpread = 50 * time.Millisecond
 
+// lateLinkBacklog is the backlog of a link up to which it takes the response to a late call. With a longer one, late calls would
+// make the responses to all others late as well, and none more would be served.
+const lateLinkBacklog = 250 * time.Millisecond
+
+// linkTimeLeft returns how long the link may take for the response to a call: until its due time or, without one, its deadline.
+func linkTimeLeft(now, due, deadline time.Duration) time.Duration {
+	switch {
+	case due == 0:
+		return deadline - now
+	case due > now:
+		return min(due, deadline) - now
+	default:
+		return min(deadline-now, lateLinkBacklog)
+	}
+}
+
 // linkState holds what this node knows of the link of its instance. It is disabled unless Config.LinkMbps is set.
 type linkState struct {
 	out     bandwidth.Link
@@ -31,7 +47,10 @@
 		return false
 	}
 	service, _ := s.expectedService(call)
-	left := call.deadline - s.now
+	left := linkTimeLeft(s.now, call.due, call.deadline)
+	if call.due > 0 && call.due <= s.now { // the backlog is bounded, not the time of the execution
+		left = min(left+service, call.deadline-s.now)
+	}
 	if s.links.out.Admits(call.route, service, left, s.now) {
 		return false
 	}
@@ -153,7 +172,7 @@
 	}
 	usable := s.usableUpstreams(pool.Service, nil)
 	for _, u := range usable {
-		if u.Node != s.cfg.Self && !u.load.hasFreshReport(s.now, earlyReportMaxAge) || s.linkTime(u, call) <= call.deadline-s.now {
+		if u.Node != s.cfg.Self && !u.load.hasFreshReport(s.now, earlyReportMaxAge) || s.linkTime(u, call) <= linkTimeLeft(s.now, call.due, call.deadline) {
 			return false
 		}
 	}
--- a/reducer/links_test.go
+++ b/reducer/links_test.go
@@ -60,3 +60,20 @@
 		}
 	}
 }
+
+// Guards against responses that are admitted up to their deadlines, so that all on a full link are late, and against late ones
+// that delay the others.
+func TestLinkAdmitsUntilTheDueTime(t *testing.T) {
+	const now = 10 * time.Second
+	for _, c := range []struct{ due, deadline, want time.Duration }{
+		{0, now + 5*time.Second, 5 * time.Second},
+		{now + 1500*time.Millisecond, now + 5*time.Second, 1500 * time.Millisecond},
+		{now + 1500*time.Millisecond, now + time.Second, time.Second},
+		{now - time.Millisecond, now + 5*time.Second, lateLinkBacklog},
+		{now - time.Millisecond, now + 100*time.Millisecond, 100 * time.Millisecond},
+	} {
+		if got := linkTimeLeft(now, c.due, c.deadline); got != c.want {
+			t.Errorf("due %v, deadline %v: the link may take %v, expected %v", c.due, c.deadline, got, c.want)
+		}
+	}
+}
