reducer/quota: buckets reach the owner when many nodes join together

A node passes a bucket on that belongs to another one by its view, three times at most, and keeps one that arrives before its first tables.

--- a/reducer/quota/message.go
+++ b/reducer/quota/message.go
@@ -13,6 +13,7 @@
 	Workspace string
 	Level     float64 // tokens in the bucket
 	Out       float64 // granted tokens that nodes may still use
+	Hops      int     // nodes that have passed it on since the owner that released it
 }
 
 // Ask is what a node asks of one workspace's quota.
--- a/reducer/quota/owner.go
+++ b/reducer/quota/owner.go
@@ -168,14 +168,17 @@
 		return
 	}
 	o.fill(now, b)
-	release := Release{Workspace: name, Level: b.level, Out: b.out}
+	o.sendRelease(owner, Release{Workspace: name, Level: b.level, Out: b.out})
+}
+
+func (o *Owner) sendRelease(to Peer, release Release) {
 	for i := range o.releases {
-		if o.releases[i].To == owner {
+		if o.releases[i].To == to {
 			o.releases[i].Releases = append(o.releases[i].Releases, release)
 			return
 		}
 	}
-	o.releases = append(o.releases, Outgoing{To: owner, Releases: []Release{release}})
+	o.releases = append(o.releases, Outgoing{To: to, Releases: []Release{release}})
 }
 
 // TakeReleases returns the messages about passed buckets since the last call.
@@ -186,7 +189,8 @@
 }
 
 // HandleReleases takes the buckets that an earlier owner passes on, so that this node grants without delay. It ignores
-// messages that may have waited during a pause of the process: their sender may be the owner again.
+// messages that may have waited during a pause of the process: their sender may be the owner again. A bucket that belongs to
+// another node by this node's view is passed on: when many nodes join together, the sender may not know the last of them yet.
 func (o *Owner) HandleReleases(now time.Duration, releases []Release) {
 	if o.wasReset && now-o.resetAt < resumeMargin {
 		return
@@ -194,12 +198,32 @@
 	for _, r := range releases {
 		if b := o.buckets[r.Workspace]; b != nil {
 			o.takeOver(now, b, r)
-		} else if _, ok := o.workspaces[r.Workspace]; ok {
+		} else if o.mayOwn(r.Workspace) && !o.passOn(r) {
 			o.received[r.Workspace] = receivedRelease{r, now}
 		}
 	}
 }
 
+// mayOwn reports whether a workspace is in the tables, or may be in those that a node that has just started does not have yet.
+func (o *Owner) mayOwn(workspace string) bool {
+	_, known := o.workspaces[workspace]
+	return known || len(o.workspaces) == 0 && len(o.received) < maxHolders
+}
+
+// maxReleaseHops bounds how often a bucket is passed on. Views that differ could send it in circles.
+const maxReleaseHops = 3
+
+// passOn sends a bucket on to the node that owns it by this node's view, and reports whether there is such a node.
+func (o *Owner) passOn(r Release) bool {
+	owner, ok := o.view.ownerOf(r.Workspace)
+	if !ok || owner == o.view.Self || r.Hops >= maxReleaseHops {
+		return false
+	}
+	r.Hops++
+	o.sendRelease(owner, r)
+	return true
+}
+
 func (o *Owner) takeOver(now time.Duration, b *bucket, r Release) {
 	if now >= b.heldTo {
 		return
--- a/reducer/quota/owner_test.go
+++ b/reducer/quota/owner_test.go
@@ -70,3 +70,50 @@
 		}
 	}
 }
+
+// Guards against a quota that nobody grants for the whole hold of a new owner, because its bucket went to a node that owned it only
+// until another one joined, or that had no tables yet.
+func TestBucketIsPassedOnToTheOwner(t *testing.T) {
+	limits := Limits{Window: 5 * time.Second}
+	workspaces := []tables.Workspace{{Name: "red", Rate: 100, Burst: 100}}
+	view := func(self string, live ...string) View {
+		v := View{Self: Peer{self, 1}, Known: live, Alive: len(live)}
+		for _, node := range live {
+			v.Live = append(v.Live, Peer{node, 1})
+		}
+		return v
+	}
+	all := []string{"a", "b", "c", "d", "e"}
+	wide := view("a", all...)
+	last, _ := wide.ownerOf("red")
+	var others []string
+	for _, node := range all {
+		if node != last.Node {
+			others = append(others, node)
+		}
+	}
+	narrow := view(others[0], others...)
+	middle, _ := narrow.ownerOf("red")
+
+	between := NewOwner(limits)
+	between.SetWorkspaces(0, 1, workspaces)
+	between.SetView(0, view(middle.Node, all...))
+	between.HandleReleases(time.Second, []Release{{Workspace: "red", Level: 80, Out: 5}})
+	passed := between.TakeReleases()
+	if len(passed) != 1 || passed[0].To != last || passed[0].Releases[0].Hops != 1 {
+		t.Fatalf("passed on %+v, expected the bucket to %s", passed, last.Node)
+	}
+
+	owner := NewOwner(limits) // it has no tables when the bucket arrives
+	owner.SetView(0, view(last.Node, all...))
+	owner.HandleReleases(time.Second, passed[0].Releases)
+	owner.SetWorkspaces(1100*time.Millisecond, 1, workspaces)
+	if b := owner.buckets["red"]; b == nil || b.heldTo > 1100*time.Millisecond || b.level < 70 {
+		t.Errorf("the owner holds %+v, expected the bucket that was passed on", b)
+	}
+	passed[0].Releases[0].Hops = maxReleaseHops
+	between.HandleReleases(2*time.Second, passed[0].Releases)
+	if again := between.TakeReleases(); len(again) != 0 {
+		t.Errorf("passed on %d times and once more", maxReleaseHops)
+	}
+}
--- a/runner/peer/wire_quota.go
+++ b/runner/peer/wire_quota.go
@@ -25,6 +25,7 @@
 type QuotaRelease struct {
 	Workspace  string
 	Level, Out uint64
+	Hops       int
 }
 
 // QuotaGrant is reducer.QuotaGrant on the wire.
@@ -72,7 +73,7 @@
 	}
 	for _, r := range m.Releases {
 		// Tokens that nodes may use are rounded up.
-		out.Releases = append(out.Releases, QuotaRelease{Workspace: r.Workspace, Level: wireTokens(r.Level), Out: wireTokens(r.Out + 1)})
+		out.Releases = append(out.Releases, QuotaRelease{Workspace: r.Workspace, Level: wireTokens(r.Level), Out: wireTokens(r.Out + 1), Hops: r.Hops})
 	}
 	return out
 }
@@ -86,7 +87,7 @@
 		})
 	}
 	for _, r := range q.Releases {
-		out.Releases = append(out.Releases, quota.Release{Workspace: r.Workspace, Level: fromWireTokens(r.Level), Out: fromWireTokens(r.Out)})
+		out.Releases = append(out.Releases, quota.Release{Workspace: r.Workspace, Level: fromWireTokens(r.Level), Out: fromWireTokens(r.Out), Hops: max(r.Hops, 0)})
 	}
 	return out
 }
