reducer/quota: a new owner may grant what the earlier one could

An owner that had just joined could grant nothing for 3 s after its view had changed last, although the earlier owner had passed its bucket on: a higher share of the rate than before waits until another side of a partition has lowered its own. The bucket now carries the share of the earlier owner, which gives it up.

TestBoundHoldsInGeneratedFailures passes with -rapid.checks=3000.

--- a/reducer/quota/message.go
+++ b/reducer/quota/message.go
@@ -13,6 +13,7 @@
 	Workspace string
 	Level     float64 // tokens in the bucket
 	Out       float64 // granted tokens that nodes may still use
+	Share     float64 // part of the rate that the earlier owner could grant
 	Hops      int     // nodes that have passed it on since the owner that released it
 }
 
--- a/reducer/quota/owner.go
+++ b/reducer/quota/owner.go
@@ -168,7 +168,7 @@
 		return
 	}
 	o.fill(now, b)
-	o.sendRelease(owner, Release{Workspace: name, Level: b.level, Out: b.out})
+	o.sendRelease(owner, Release{Workspace: name, Level: b.level, Out: b.out, Share: o.currentShare(now)})
 }
 
 func (o *Owner) sendRelease(to Peer, release Release) {
@@ -228,6 +228,8 @@
 	if now >= b.heldTo {
 		return
 	}
+	// The earlier owner could grant this share and has given it up, so that this node need not wait for it.
+	o.share = max(o.share, min(r.Share, o.view.share()))
 	b.heldTo, b.filledAt = now, now
 	b.level = max(min(r.Level, b.plan.capacity), 0)
 	b.out = max(min(r.Out, b.plan.capacity), 0)
--- a/reducer/quota/owner_test.go
+++ b/reducer/quota/owner_test.go
@@ -98,7 +98,7 @@
 	between := NewOwner(limits)
 	between.SetWorkspaces(0, 1, workspaces)
 	between.SetView(0, view(middle.Node, all...))
-	between.HandleReleases(time.Second, []Release{{Workspace: "red", Level: 80, Out: 5}})
+	between.HandleReleases(time.Second, []Release{{Workspace: "red", Level: 80, Out: 5, Share: 1}})
 	passed := between.TakeReleases()
 	if len(passed) != 1 || passed[0].To != last || passed[0].Releases[0].Hops != 1 {
 		t.Fatalf("passed on %+v, expected the bucket to %s", passed, last.Node)
--- a/runner/peer/wire_quota.go
+++ b/runner/peer/wire_quota.go
@@ -25,6 +25,7 @@
 type QuotaRelease struct {
 	Workspace  string
 	Level, Out uint64
+	SharePart  uint64 // in units of 1/shareUnits, rounded down
 	Hops       int
 }
 
@@ -47,6 +48,7 @@
 
 const (
 	demandUnits = 1000
+	shareUnits  = 1e6
 	// maxWireTokens is the largest number on the wire that is taken over. Larger ones are of a faulty peer.
 	maxWireTokens = 1 << 40
 )
@@ -73,7 +75,7 @@
 	}
 	for _, r := range m.Releases {
 		// Tokens that nodes may use are rounded up.
-		out.Releases = append(out.Releases, QuotaRelease{Workspace: r.Workspace, Level: wireTokens(r.Level), Out: wireTokens(r.Out + 1), Hops: r.Hops})
+		out.Releases = append(out.Releases, QuotaRelease{Workspace: r.Workspace, Level: wireTokens(r.Level), Out: wireTokens(r.Out + 1), SharePart: wireTokens(r.Share * shareUnits), Hops: r.Hops})
 	}
 	return out
 }
@@ -87,7 +89,7 @@
 		})
 	}
 	for _, r := range q.Releases {
-		out.Releases = append(out.Releases, quota.Release{Workspace: r.Workspace, Level: fromWireTokens(r.Level), Out: fromWireTokens(r.Out), Hops: max(r.Hops, 0)})
+		out.Releases = append(out.Releases, quota.Release{Workspace: r.Workspace, Level: fromWireTokens(r.Level), Out: fromWireTokens(r.Out), Share: min(fromWireTokens(r.SharePart)/shareUnits, 1), Hops: max(r.Hops, 0)})
 	}
 	return out
 }
