--- a/runner/store/rollouts_test.go
+++ b/runner/store/rollouts_test.go
@@ -63,7 +63,7 @@
 func TestWatchReportsAnOrder(t *testing.T) {
 	f := newFixture(t)
 	f.runner.rollouts = hosted.Rollouts()
-	f.server.OperatorPut("op/config", []byte(`{}`))
+	f.server.OperatorPut(hosted.KeyConfig, []byte(`{}`))
 	read := f.perform(t, reducer.ReadRollouts{}).(reducer.RolloutsRead)
 	time.AfterFunc(50*time.Millisecond, func() { f.server.OperatorPut("op/rollout/desk", []byte(`{}`)) })
 	changed := f.perform(t, reducer.WatchRollouts{After: read.Revision}).(reducer.RolloutsChanged)
