--- a/node/node.go
+++ b/node/node.go
@@ -108,7 +108,7 @@
 	return reducer.Config{
 		Self: reducer.NodeID(s.Node.ID), Zone: s.Node.Zone, Address: s.Listen.PeerAddress(), Operator: s.Listen.Operator,
 		Incarnation: incarnation, Seeds: s.Peers.Seeds, Discover: true, Limits: limits,
-		Tunables: tunables(s), LinkMbps: s.Instance.LinkMbps,
+		Tunables: tunables(s), LinkMbps: s.Instance.LinkMbps, LearnCapacity: s.Backend.LearnCapacity,
 		Quotas:   quota.Limits{Window: s.Quotas.Window, Overage: s.Quotas.Overage, Slack: float64(s.Quotas.Slack)},
 		Rollouts: rollout.Settings(s.Rollouts),
 	}
--- a/reducer/backend_capacity.go
+++ b/reducer/backend_capacity.go
@@ -80,6 +80,9 @@
 
 // observeCapacity learns from the end of a request to the backend server.
 func (s *State) observeCapacity(call *targetCall, result BackendResult) {
+	if !s.cfg.LearnCapacity {
+		return
+	}
 	stats := s.target.queue.service.statsOf(call.route)
 	switch {
 	case result == BackendAnswered:
@@ -143,7 +146,7 @@
 // observeExpired notes a running call that is not idempotent and whose deadline has passed. It runs on, but not at a backend
 // server that hangs.
 func (s *State) observeExpired(call *targetCall) {
-	if call.idempotent || call.expected == 0 || call.hangNoted || s.pausedDuring(call) {
+	if !s.cfg.LearnCapacity || call.idempotent || call.expected == 0 || call.hangNoted || s.pausedDuring(call) {
 		return
 	}
 	if !call.isHung(s.now) {
--- a/reducer/backend_capacity_test.go
+++ b/reducer/backend_capacity_test.go
@@ -28,6 +28,7 @@
 
 func newFullBackend(t *testing.T, hangs, idempotent bool) *fullBackend {
 	d := newTestTarget(t, map[string]string{"slots": "13", "ramp": "0s", "queue_limit": "20"})
+	d.state.cfg.LearnCapacity = true
 	return &fullBackend{testTarget: d, hangs: hangs, idempotent: idempotent, running: map[Handle]time.Duration{}, hung: map[Handle]time.Duration{}, started: map[Handle]bool{}}
 }
 
@@ -207,6 +208,16 @@
 	}
 }
 
+// Guards against a limit for a backend server whose settings do not ask for one.
+func TestCapacityIsNotLearnedWithoutTheSetting(t *testing.T) {
+	b := newFullBackend(t, false, true)
+	b.state.cfg.LearnCapacity = false
+	b.run(3 * time.Second)
+	if slots := b.state.slots(); slots != fullSlots || b.full == 0 {
+		t.Errorf("%d of %d slots after %d resets, expected all", slots, fullSlots, b.full)
+	}
+}
+
 // Guards against a backend server that is limited because the responses of requests that it has run are lost by resets: it is
 // not full, and the calls that it could serve would be refused.
 func TestLostResponsesDoNotLimitTheBackend(t *testing.T) {
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -48,10 +48,13 @@
 	Tunables
 	// Tables is the version that the node starts with, for a program that embeds the state and distributes the tables
 	// itself; nil for a node that receives them from the store or from peers.
-	Tables     *tables.Snapshot
-	Quotas     quota.Limits // how exactly the quotas of workspaces are kept; a Window of 0 is 5 s
-	Rollouts   rollout.Settings
-	Discipline Discipline // order of the queue; measurements and tests set other values than the default
+	Tables   *tables.Snapshot
+	Quotas   quota.Limits // how exactly the quotas of workspaces are kept; a Window of 0 is 5 s
+	Rollouts rollout.Settings
+	// LearnCapacity limits the requests at the backend server beside this node to what it has borne, once it resets or leaves
+	// without an answer those that are beyond it.
+	LearnCapacity bool
+	Discipline    Discipline // order of the queue; measurements and tests set other values than the default
 	// DisableNested treats nested calls like any others, for comparison in measurements and tests.
 	DisableNested bool
 	// DisableFairness treats calls of all workspaces as those of one, for the same purpose.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,6 +43,9 @@
 	Service   string
 	Address   string        // IP:port
 	Heartbeat time.Duration // interval between its registrations
+	// LearnCapacity limits the requests at the backend server to what it has borne, once it resets or leaves without an
+	// answer those that are beyond it.
+	LearnCapacity bool
 }
 
 // Listen holds the addresses on which the node listens, each IP:port.
@@ -244,6 +247,8 @@
 			Service:   r.text("backend", "service"),
 			Address:   r.optionalAddress("backend", "address"),
 			Heartbeat: r.duration("backend", "heartbeat", time.Second, 100*time.Millisecond, time.Minute),
+
+			LearnCapacity: r.choice("backend", "learn_capacity", "no", "yes") == "yes",
 		},
 		Listen: Listen{
 			Callers:  r.address("listen", "callers"),
