reducer: failures by nested calls do not count for a version that is rolled out

Its nodes had just started while all others restarted in turn, and calls that its backend servers make failed there.

--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -233,6 +233,9 @@
 		return
 	}
 	s.observeForward(call, in)
+	if in.Status >= failureStatus {
+		s.noteCallFailed(call.route.Pool, ReasonBackendFailed)
+	}
 	s.learnFromReport(call, &in.Load)
 	call.failedBelow = in.Load.Withheld > 0 && in.Status >= failureStatus
 	s.chargeRetries(call, in.RetriesUsed)
@@ -383,6 +386,9 @@
 func (s *State) finish(call *ingressCall, outcome Outcome, reason Reason) {
 	s.forgetQuotaWait(call)
 	s.setPhase(call, ingressFinished)
+	if outcome != OutcomeDone {
+		s.noteCallFailed(call.route.Pool, reason)
+	}
 	s.noteNestedEnd(call, outcome, reason)
 	s.ingress.reservedBytes -= call.reservedBytes
 	delete(s.ingress.calls, call.handle)
--- a/reducer/ingress_arrival.go
+++ b/reducer/ingress_arrival.go
@@ -15,6 +15,7 @@
 		return
 	}
 	if reason != ReasonNone {
+		s.noteCallFailed(route.Pool, reason)
 		in.FirstAttempt = s.isFirstAttempt(in)
 		outcome := in.RefusalOutcome()
 		s.emit(FailCall{Call: in.Call, Outcome: outcome, Reason: reason, RetryAfter: fixedRetryAfter(reason)})
--- /dev/null
+++ b/reducer/rollout_failures_test.go
@@ -0,0 +1,36 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
+)
+
+// Guards against a good version that is rolled back because calls that its backend servers make fail at nodes that have just
+// started, and against a bad one whose own failures do not count.
+func TestFailuresByNestedCallsDoNotCountForAVersion(t *testing.T) {
+	s := newWorkspaceNode(t, "")
+	s.cfg.Rollouts.Enabled = true
+	s.backend.service = "v"
+	s.rollouts.counts = map[string]*rollout.RouteCount{}
+	s.now = 10 * time.Second
+	s.rollouts.view.Apply(rollout.Update{Service: "v", Version: "v2", From: "v1", State: rollout.Running, Share: 0.04, Revision: 1}, s.now)
+	failed := BackendRequestDone{Result: BackendAnswered, Status: 500, Elapsed: 100 * time.Millisecond}
+
+	s.noteCallFailed("p", ReasonDeadline)
+	s.now += 50 * time.Millisecond
+	s.countForRollout("r", failed)
+	if c := s.rollouts.counts["r"]; c != nil {
+		t.Errorf("counted %+v although a call failed while the request ran", *c)
+	}
+	s.now += time.Second
+	s.noteCallFailed("p", ReasonNoRoute)
+	s.backend.service = "s" // its own calls are not made by it
+	s.noteCallFailed("p", ReasonDeadline)
+	s.backend.service = "v"
+	s.countForRollout("r", failed)
+	if c := s.rollouts.counts["r"]; c == nil || c.Failures != 1 {
+		t.Errorf("counted %+v, expected one failure", c)
+	}
+}
--- a/reducer/rollout_state.go
+++ b/reducer/rollout_state.go
@@ -25,13 +25,15 @@
 
 // rolloutState is what this node knows of the roll-outs of versions, and its part in them.
 type rolloutState struct {
-	view    rollout.View
-	orders  map[string]rollout.Order  // by service, as read from the store
-	stored  map[string]rollout.Stored // by service, as read from the store
-	leads   map[string]*rolloutLead   // by service
-	counts  map[string]*rollout.RouteCount
-	heardAt map[string]time.Duration // when the state of a service was last repeated
-	movedAt map[string]time.Duration // when traffic of a service last moved between versions
+	view   rollout.View
+	orders map[string]rollout.Order  // by service, as read from the store
+	stored map[string]rollout.Stored // by service, as read from the store
+	leads  map[string]*rolloutLead   // by service
+	counts map[string]*rollout.RouteCount
+	// callFailedAt is when a call that entered at this node for another service last failed; 0 for never.
+	callFailedAt time.Duration
+	heardAt      map[string]time.Duration // when the state of a service was last repeated
+	movedAt      map[string]time.Duration // when traffic of a service last moved between versions
 
 	read, watch     platformCall
 	readAt, watchAt time.Duration // earliest times of the next calls
@@ -256,6 +258,9 @@
 	if !s.cfg.Rollouts.Enabled || r.view.Update(s.backend.service).State != rollout.Running || in.Result == BackendShed || in.Result == BackendMisdirected {
 		return
 	}
+	if in.Result == BackendAnswered && in.Status >= failureStatus && s.callFailedWithin(in.Elapsed) {
+		return
+	}
 	c := r.counts[route]
 	if c == nil {
 		if len(r.counts) >= maxRolloutRoutes {
@@ -273,6 +278,27 @@
 	}
 }
 
+// noteCallFailed notes the failure of a call that entered at this node, if the backend server beside it may have made the call:
+// it is for another service, and was not refused for what its caller sent.
+func (s *State) noteCallFailed(poolName string, reason Reason) {
+	if pool, ok := s.config.active.Pool(poolName); !ok || pool.Service == s.backend.service {
+		return
+	}
+	switch reason {
+	case ReasonNoRoute, ReasonUnknownKey, ReasonQuotaExceeded, ReasonBodyTooLarge, ReasonBodyIncomplete, ReasonTooDeep, ReasonUnsupportedRoute:
+	default:
+		s.rollouts.callFailedAt = s.now
+	}
+}
+
+// callFailedWithin reports whether a call that the backend server may have made has failed within a time. A backend server fails a request
+// if such a call fails: its version is not to blame. Nodes of a new version have just started, and
+// fail more calls than others.
+func (s *State) callFailedWithin(elapsed time.Duration) bool {
+	at := s.rollouts.callFailedAt
+	return at > 0 && s.now-at <= elapsed
+}
+
 // reportRollouts reports to the deciders of the running roll-outs: what the backend server beside this node has answered,
 // and which state this node has applied. Nodes without an upstream of the service report only the guarded steps, in which
 // the decider waits for them.
