--- a/node/lifecycle_test.go
+++ b/node/lifecycle_test.go
@@ -41,6 +41,13 @@
 	return p.log.Write(line)
 }
 
+// textOf returns what was written to a buffer. The export of spans may still log after both nodes have stopped.
+func (p *nodePair) textOf(buffer *bytes.Buffer) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return buffer.String()
+}
+
 func (p *nodePair) receiveSpans(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -139,12 +146,12 @@
 	p.nodes.Wait()
 	p.stop()
 	for _, line := range []string{"call finished", "forwarded call answered"} {
-		if !strings.Contains(p.log.String(), `msg="`+line+`" request= call=`+got.id+" ") {
+		if !strings.Contains(p.textOf(&p.log), `msg="`+line+`" request= call=`+got.id+" ") {
 			t.Errorf("log has no line %q for call %s", line, got.id)
 		}
 	}
 	for _, span := range []string{"call", "decision", "forward", "target", "queue", "backend", got.id} {
-		if !strings.Contains(p.spans.String(), span) {
+		if !strings.Contains(p.textOf(&p.spans), span) {
 			t.Errorf("the collector got no span %q", span)
 		}
 	}
