reducer: another decider of a roll-out takes over within the permission of the old version

The new decider named no decider in the state and counted its repetitions from 1: nodes took these for old ones and went on reporting to the node that had left. The roll-out stood still until the end of the order.

Change: a decider that takes over first writes the stored step with itself as the decider. One that leaves by plan ends its lease at once; the other readers try for it every 500 ms. The permission lasts 4.5 s instead of 2 s, which covers a takeover after a kill.

TestDeciderIsReplaced failed before (killed/7.7s: still running after 15 s) and passes.

--- a/reducer/rollout/rollout.go
+++ b/reducer/rollout/rollout.go
@@ -131,14 +131,18 @@
 }
 
 const (
-	// PermissionTTL is how long a node may use the old version of a guarded roll-out after it last heard of the state.
-	PermissionTTL = 2 * time.Second
-	// RefreshInterval is how often the decider repeats the state of a running roll-out: four times within PermissionTTL,
-	// so that three lost messages end no permission.
+	// PermissionTTL is how long a node may use the old version of a guarded roll-out after it last heard of the state. It
+	// covers the time in which another node takes over from a decider that was killed: LeaseTTL, CandidateInterval,
+	// RefreshInterval and half a second for a read and a write of the store. Without it the calls that are not for the new
+	// version would have no upstream meanwhile.
+	PermissionTTL = 4500 * time.Millisecond
+	// RefreshInterval is how often the decider repeats the state of a running roll-out.
 	RefreshInterval = 500 * time.Millisecond
-	// LeaseTTL is how long a decider that has failed keeps others from deciding; LeaseInterval is how often it is renewed.
-	LeaseTTL      = 3 * time.Second
-	LeaseInterval = time.Second
+	// LeaseTTL is how long a decider that has failed keeps others from deciding; LeaseInterval is how often it is renewed, and
+	// CandidateInterval how often the other readers try to acquire it.
+	LeaseTTL          = 3 * time.Second
+	LeaseInterval     = time.Second
+	CandidateInterval = 500 * time.Millisecond
 	// ReportInterval is how often nodes report in the first step, and FastReportInterval in the later ones, where more
 	// requests reach a bad version until it is found.
 	ReportInterval     = 500 * time.Millisecond
--- a/reducer/rollout_lead.go
+++ b/reducer/rollout_lead.go
@@ -37,6 +37,9 @@
 // leadOpenOrders makes this node a candidate for the decider of each open order, and reports whether there is one.
 func (s *State) leadOpenOrders() bool {
 	r := &s.rollouts
+	if s.shutdown.phase != phaseServing {
+		return false
+	}
 	for service, order := range r.orders {
 		if order.Revision > r.stored[service].Update.Order {
 			s.leadOf(service)
@@ -133,6 +136,7 @@
 		}
 	case StoreConflict:
 		s.loseLead(lead)
+		lead.holdAt = s.now + rollout.CandidateInterval
 	case StoreNoLease:
 		s.loseLead(lead)
 		lead.holdAt = s.now
@@ -141,6 +145,18 @@
 	}
 }
 
+// resignRollouts ends the decisions of this node when it leaves, so that another node decides before the nodes lose their
+// permission to use the old version.
+func (s *State) resignRollouts() {
+	for _, service := range sortedKeys(s.rollouts.leads) {
+		if lead := s.rollouts.leads[service]; lead.lease != 0 {
+			s.log(LevelInfo, "node decides the roll-out no more", Field{"service", service}, Field{"fence", lead.fence})
+			s.emit(EndLease{Lease: lead.lease})
+		}
+		delete(s.rollouts.leads, service)
+	}
+}
+
 // loseLead ends the decisions of this node until it has the lease again.
 func (s *State) loseLead(lead *rolloutLead) {
 	lead.lease, lead.fence, lead.confirmed, lead.ready, lead.decider, lead.writing = 0, 0, false, false, nil, nil
@@ -155,6 +171,10 @@
 	if lead.decider != nil && lead.decider.Held().Revision < stored.Revision || lead.decider == nil && running {
 		s.continueRollout(lead, stored)
 	}
+	if running && stored.Update.Decider != s.rolloutSelf() {
+		s.takeOverRollout(lead, stored)
+		return
+	}
 	inUse, known := r.view.InUse(service, s.versionsOf(service))
 	switch {
 	case !ordered && running:
@@ -175,6 +195,13 @@
 	}
 }
 
+// takeOverRollout writes the state of another decider with this node in its place. Nodes send their reports to the decider that the
+// state names, and ignore repetitions of a revision by a node that counts them from the beginning.
+func (s *State) takeOverRollout(lead *rolloutLead, stored rollout.Stored) {
+	stored.Update.Decider, stored.Update.Refresh = s.rolloutSelf(), 0
+	s.writeRollout(lead, stored)
+}
+
 func withService(stored rollout.Stored, service string) rollout.Stored {
 	stored.Update.Service = service
 	return stored
