tables: a version is checked from the sections that changed

A delta of a peer is passed on as it came instead of being computed again, and its result is hashed once less.

--- a/internal/pump/check.go
+++ b/internal/pump/check.go
@@ -19,7 +19,7 @@
 	if e.Delta != nil {
 		return e.Run()
 	}
-	key := checkKey{e.Document, e.Base}
+	key := checkKey{e.Document, e.Base.Document()}
 	if cached, ok := checkResults.Load(key); ok {
 		return cached.(reducer.TablesChecked)
 	}
--- a/reducer/config.go
+++ b/reducer/config.go
@@ -152,7 +152,7 @@
 		return
 	}
 	s.config.checking = c
-	s.emit(CheckTables{Document: c.document, Delta: c.delta, Base: s.config.active.Document()})
+	s.emit(CheckTables{Document: c.document, Delta: c.delta, Base: s.config.active})
 }
 
 // handleTablesChecked adopts a version that passed the check and records why another one is refused.
--- a/reducer/config_check.go
+++ b/reducer/config_check.go
@@ -9,20 +9,23 @@
 	if e.Delta != nil {
 		header := tables.Document{Version: e.Delta.Version, Hash: e.Delta.Hash}
 		var err error
-		if document, err = tables.Apply(e.Base, *e.Delta); err != nil {
+		if document, err = tables.Apply(e.Base.Document(), *e.Delta); err != nil {
 			return TablesChecked{Document: header, Damaged: true, Problem: err.Error()}
 		}
 	}
-	if tables.ContentHash(document.Routes, document.Pools) != document.Hash {
+	if e.Delta == nil && tables.ContentHash(document.Routes, document.Pools) != document.Hash {
 		return TablesChecked{Document: document, Damaged: true, Problem: "content does not match its hash"}
 	}
-	snapshot, err := tables.Check(document)
+	snapshot, err := tables.CheckFrom(e.Base, document)
 	if err != nil {
 		return TablesChecked{Document: document, Problem: err.Error()}
 	}
 	checked := TablesChecked{Document: document, Snapshot: snapshot}
-	if e.Base.Version != 0 {
-		checked.Delta = tables.Diff(e.Base, document)
+	switch {
+	case e.Delta != nil:
+		checked.Delta = *e.Delta
+	case e.Base != nil:
+		checked.Delta = tables.Diff(e.Base.Document(), document)
 	}
 	return checked
 }
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -248,7 +248,7 @@
 type CheckTables struct {
 	Document tables.Document // unless Delta is set
 	Delta    *tables.Delta
-	Base     tables.Document // the active version; zero when there is none
+	Base     *tables.Snapshot // the active version; nil when there is none
 }
 
 // Publish passes a newly active snapshot to the operator endpoints.
--- a/tables/check.go
+++ b/tables/check.go
@@ -6,8 +6,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"gopkg.in/ini.v1"
 )
 
 // Default and maximum values of keys in the tables.
@@ -66,8 +64,12 @@
 
 // Check parses and validates both tables of a document. It returns a snapshot, or a *CheckError that lists
 // all faults that were found; a document is never accepted in part.
-func Check(document Document) (*Snapshot, error) {
-	c := &checker{routesByHostPath: map[hostPath][]*Route{}, snapshot: &Snapshot{
+func Check(document Document) (*Snapshot, error) { return CheckFrom(nil, document) }
+
+// CheckFrom returns the same as Check. Sections whose text base has too are taken over from it: after a change of a few
+// sections of a large document this takes a fraction of the time. base may be nil.
+func CheckFrom(base *Snapshot, document Document) (*Snapshot, error) {
+	c := &checker{snapshot: &Snapshot{
 		document:  document,
 		pools:     map[string]Pool{},
 		byService: map[string]Pool{},
@@ -75,6 +77,9 @@
 		workspaces: map[string]*Workspace{},
 		byKey:      map[KeyFingerprint]*Workspace{},
 	}}
+	if base != nil {
+		c.known = base.sections
+	}
 	c.checkDocument(document)
 	if len(c.faults) == 0 {
 		c.checkPools(document.Pools)
@@ -89,9 +94,17 @@
 }
 
 type checker struct {
-	snapshot         *Snapshot
-	routesByHostPath map[hostPath][]*Route
-	faults           []Fault
+	snapshot *Snapshot
+	known    sectionsByText // of an earlier snapshot
+	faults   []Fault
+
+	routesByHostPath map[hostPath]sameHostPath
+}
+
+// sameHostPath holds the routes with one host and path, by their position in the snapshot.
+type sameHostPath struct {
+	first  int
+	others []int
 }
 
 func (c *checker) addFault(table, section, key, format string, args ...any) {
@@ -110,59 +123,6 @@
 	}
 }
 
-// section reads the keys of one section of a table and records which keys were read.
-type section struct {
-	checker *checker
-	table   string
-	ini     *ini.Section
-	used    map[string]bool
-}
-
-// parseSections returns the sections of a table that are named [PREFIX NAME] and reports all others. It
-// checks the limits section and the workspaces itself.
-func (c *checker) parseSections(table, prefix, text string) []*section {
-	file, err := ini.LoadSources(ini.LoadOptions{
-		IgnoreInlineComment:    true,
-		AllowNonUniqueSections: true,
-	}, []byte(text))
-	if err != nil {
-		c.addFault(table, "", "", "cannot be parsed: %v", err)
-		return nil
-	}
-	var sections []*section
-	seen := map[string]bool{}
-	for _, s := range file.Sections() {
-		if table == "routes" && s.Name() == limitsSection {
-			c.checkLimits(&section{checker: c, table: table, ini: s, used: map[string]bool{}})
-			continue
-		}
-		if s.Name() == ini.DefaultSection {
-			for _, key := range s.Keys() {
-				c.addFault(table, "", key.Name(), "is set before the first section")
-			}
-			continue
-		}
-		kind, name, _ := strings.Cut(s.Name(), " ")
-		isWorkspace := table == "routes" && kind == workspacePrefix
-		if kind != prefix && !isWorkspace || strings.TrimSpace(name) == "" {
-			c.addFault(table, s.Name(), "", "is not a section of this table, expected [%s NAME]", prefix)
-			continue
-		}
-		if seen[s.Name()] {
-			c.addFault(table, s.Name(), "", "is defined twice")
-			continue
-		}
-		seen[s.Name()] = true
-		read := &section{checker: c, table: table, ini: s, used: map[string]bool{}}
-		if isWorkspace {
-			c.checkWorkspace(read)
-			continue
-		}
-		sections = append(sections, read)
-	}
-	return sections
-}
-
 // name returns the section's name without the prefix.
 func (s *section) name() string {
 	_, name, _ := strings.Cut(s.ini.Name(), " ")
@@ -267,99 +227,125 @@
 }
 
 func (c *checker) checkPools(text string) {
-	for _, s := range c.parseSections("pools", "pool", text) {
-		pool := Pool{
-			Name:       s.name(),
-			Service:    s.required("service"),
-			QueueLimit: int(s.integer("queue_limit", DefaultQueueLimit, 1, MaxQueueLimit)),
-			Ramp:       s.duration("ramp", DefaultRamp, 0, MaxRamp),
-			Balance:    s.balance(),
-
-			MaxConnections: int(s.integer("max_connections", 0, 1, 1<<20)),
-		}
-		sum := 0
-		for priority := range pool.MinShares {
-			pool.MinShares[priority] = int(s.integer(fmt.Sprintf("min_share.%d", priority), 0, 0, MaxMinShareSum))
-			sum += pool.MinShares[priority]
-		}
-		if sum > MaxMinShareSum {
-			s.addFault("min_share", "minimum shares add up to %d%%, at most %d%% are allowed", sum, MaxMinShareSum)
-		}
-		s.rejectUnknownKeys()
+	for _, parsed := range c.parseTable("pools", "pool", text) {
+		pool := *parsed.pool
 		if other, taken := c.snapshot.byService[pool.Service]; taken {
-			s.addFault("service", "%q is already used by pool %q", pool.Service, other.Name)
+			c.addFault("pools", parsed.title, "service", "%q is already used by pool %q", pool.Service, other.Name)
 		}
 		c.snapshot.pools[pool.Name] = pool
 		c.snapshot.byService[pool.Service] = pool
 	}
 }
 
+func (s *section) readPool() *Pool {
+	pool := &Pool{
+		Name:       s.name(),
+		Service:    s.required("service"),
+		QueueLimit: int(s.integer("queue_limit", DefaultQueueLimit, 1, MaxQueueLimit)),
+		Ramp:       s.duration("ramp", DefaultRamp, 0, MaxRamp),
+		Balance:    s.balance(),
+
+		MaxConnections: int(s.integer("max_connections", 0, 1, 1<<20)),
+	}
+	sum := 0
+	for priority := range pool.MinShares {
+		pool.MinShares[priority] = int(s.integer(fmt.Sprintf("min_share.%d", priority), 0, 0, MaxMinShareSum))
+		sum += pool.MinShares[priority]
+	}
+	if sum > MaxMinShareSum {
+		s.addFault("min_share", "minimum shares add up to %d%%, at most %d%% are allowed", sum, MaxMinShareSum)
+	}
+	s.rejectUnknownKeys()
+	return pool
+}
+
 func (c *checker) checkRoutes(text string) {
-	for _, s := range c.parseSections("routes", "route", text) {
-		route := Route{
-			Name:          s.name(),
-			Host:          s.text("host", ""),
-			Path:          s.text("path", "/"),
-			Methods:       parseMethods(s.text("methods", "")),
-			Pool:          s.text("pool", ""),
-			Split:         s.readSplit(),
-			Priority:      int(s.integer("priority", Priorities-1, 0, Priorities-1)),
-			Idempotent:    s.boolean("idempotent", false),
-			Timeout:       s.duration("timeout", DefaultTimeout, time.Millisecond, MaxTimeout),
-			TargetLatency: s.duration("target_latency", 0, time.Millisecond, MaxTimeout),
-			Retries:       int(s.integer("retries", DefaultRetries, 0, MaxRetries)),
-			KeyRetention:  s.duration("key_retention", DefaultKeyRetention, time.Second, MaxKeyRetention),
-			MaxBodyBytes:  s.integer("max_body_bytes", DefaultBodyBytes, 0, MaxBodyBytes),
-			Streaming:     s.boolean("streaming", false),
-			Upload:        s.boolean("upload", false),
-			Public:        s.boolean("public", false),
-			Unsupported:   s.text("unsupported", ""),
-		}
-		if !strings.HasPrefix(route.Path, "/") {
-			s.addFault("path", "is %q, expected a path that starts with /", route.Path)
+	sections := c.parseTable("routes", "route", text)
+	c.snapshot.routes = make([]Route, 0, len(sections))
+	c.routesByHostPath = make(map[hostPath]sameHostPath, len(sections))
+	for _, parsed := range sections {
+		switch {
+		case parsed.limits != nil:
+			c.snapshot.limits = *parsed.limits
+		case parsed.workspace != nil:
+			c.addWorkspace(parsed)
+		default:
+			c.addRoute(parsed)
 		}
-		if route.Streaming && !route.Idempotent {
-			s.addFault("streaming", "is set on a route that is not idempotent, expected idempotent = yes")
-		}
-		if route.Upload && route.Idempotent {
-			s.addFault("upload", "is set on an idempotent route, expected idempotent = no")
-		}
-		if route.Unsupported == "" {
-			c.checkPoolReferences(s, &route)
-		}
-		s.rejectUnknownKeys()
-		c.rejectAmbiguousRoute(s, &route)
-		c.snapshot.routes = append(c.snapshot.routes, route)
 	}
 }
 
+// addRoute adds a route and checks it against the pools and the other routes.
+func (c *checker) addRoute(parsed *parsedSection) {
+	route := parsed.route
+	if route.Unsupported == "" {
+		c.checkPoolReferences(parsed.title, route)
+	}
+	c.rejectAmbiguousRoute(parsed.title, route)
+	c.snapshot.routes = append(c.snapshot.routes, *route)
+}
+
+func (s *section) readRoute() *Route {
+	route := &Route{
+		Name:          s.name(),
+		Host:          s.text("host", ""),
+		Path:          s.text("path", "/"),
+		Methods:       parseMethods(s.text("methods", "")),
+		Pool:          s.text("pool", ""),
+		Split:         s.readSplit(),
+		Priority:      int(s.integer("priority", Priorities-1, 0, Priorities-1)),
+		Idempotent:    s.boolean("idempotent", false),
+		Timeout:       s.duration("timeout", DefaultTimeout, time.Millisecond, MaxTimeout),
+		TargetLatency: s.duration("target_latency", 0, time.Millisecond, MaxTimeout),
+		Retries:       int(s.integer("retries", DefaultRetries, 0, MaxRetries)),
+		KeyRetention:  s.duration("key_retention", DefaultKeyRetention, time.Second, MaxKeyRetention),
+		MaxBodyBytes:  s.integer("max_body_bytes", DefaultBodyBytes, 0, MaxBodyBytes),
+		Streaming:     s.boolean("streaming", false),
+		Upload:        s.boolean("upload", false),
+		Public:        s.boolean("public", false),
+		Unsupported:   s.text("unsupported", ""),
+	}
+	if !strings.HasPrefix(route.Path, "/") {
+		s.addFault("path", "is %q, expected a path that starts with /", route.Path)
+	}
+	if route.Streaming && !route.Idempotent {
+		s.addFault("streaming", "is set on a route that is not idempotent, expected idempotent = yes")
+	}
+	if route.Upload && route.Idempotent {
+		s.addFault("upload", "is set on an idempotent route, expected idempotent = no")
+	}
+	s.rejectUnknownKeys()
+	return route
+}
+
 // limitsSection is the section of the routes table that limits what callers may send.
 const limitsSection = "limits"
 
-func (c *checker) checkLimits(s *section) {
-	c.snapshot.limits = Limits{
+func (s *section) readLimits() *Limits {
+	limits := &Limits{
 		HeaderBytes:   int(s.integer("max_header_bytes", 0, 1, MaxHeaderLimit)),
 		BodyBytes:     s.integer("max_body_bytes", 0, 0, MaxBodyLimit),
 		HeaderTimeout: s.duration("header_timeout", 0, time.Millisecond, MaxHeaderTimeout),
 		IdleTimeout:   s.duration("idle_timeout", 0, time.Millisecond, MaxIdleTimeout),
 	}
 	s.rejectUnknownKeys()
+	return limits
 }
 
 // checkPoolReferences checks that a route has either a pool or a split, and that the pools it names exist.
-func (c *checker) checkPoolReferences(s *section, route *Route) {
+func (c *checker) checkPoolReferences(title string, route *Route) {
 	switch {
 	case route.Pool == "" && len(route.Split) == 0:
-		s.addFault("pool", "is missing")
+		c.addFault("routes", title, "pool", "is missing")
 	case route.Pool != "" && len(route.Split) > 0:
-		s.addFault("split", "is set together with pool, expected only one of them")
+		c.addFault("routes", title, "split", "is set together with pool, expected only one of them")
 	}
 	if _, ok := c.snapshot.pools[route.Pool]; !ok && route.Pool != "" {
-		s.addFault("pool", "%q is not in the table of pools", route.Pool)
+		c.addFault("routes", title, "pool", "%q is not in the table of pools", route.Pool)
 	}
 	for _, weighted := range route.Split {
 		if _, ok := c.snapshot.pools[weighted.Pool]; !ok {
-			s.addFault("split", "%q is not in the table of pools", weighted.Pool)
+			c.addFault("routes", title, "split", "%q is not in the table of pools", weighted.Pool)
 		}
 	}
 }
@@ -395,15 +381,20 @@
 
 // rejectAmbiguousRoute reports a route that matches the same requests as an earlier one: only the order of
 // their names would decide which of the two applies.
-func (c *checker) rejectAmbiguousRoute(s *section, route *Route) {
+func (c *checker) rejectAmbiguousRoute(title string, route *Route) {
 	key := hostPath{strings.ToLower(route.Host), route.Path}
-	earlier := c.routesByHostPath[key]
-	c.routesByHostPath[key] = append(earlier, route)
-	for _, other := range earlier {
-		if methodsOverlap(other, route) {
-			s.addFault("path", "matches the same requests as route %q", other.Name)
+	same, exists := c.routesByHostPath[key]
+	if !exists {
+		c.routesByHostPath[key] = sameHostPath{first: len(c.snapshot.routes)}
+		return
+	}
+	for _, i := range append([]int{same.first}, same.others...) {
+		if other := &c.snapshot.routes[i]; methodsOverlap(other, route) {
+			c.addFault("routes", title, "path", "matches the same requests as route %q", other.Name)
 		}
 	}
+	same.others = append(same.others, len(c.snapshot.routes))
+	c.routesByHostPath[key] = same
 }
 
 func methodsOverlap(a, b *Route) bool {
--- a/tables/snapshot.go
+++ b/tables/snapshot.go
@@ -90,6 +90,7 @@
 
 	workspaces map[string]*Workspace
 	byKey      map[KeyFingerprint]*Workspace
+	sections   sectionsByText
 }
 
 // UnsupportedRoutes returns the routes whose requests are refused because this release cannot serve them.
--- a/tables/workspace.go
+++ b/tables/workspace.go
@@ -87,8 +87,8 @@
 	return w, ok
 }
 
-// checkWorkspace reads a workspace and rejects a key that another one holds too.
-func (c *checker) checkWorkspace(s *section) {
+// readWorkspace reads a workspace.
+func (s *section) readWorkspace() *Workspace {
 	w := &Workspace{
 		Name:  s.name(),
 		Rate:  s.number("rate", 0, 0, MaxWorkspaceRate),
@@ -107,14 +107,22 @@
 			s.addFault("keys", "contains %q, expected fingerprints of %d hexadecimal digits", text, 2*len(key))
 			continue
 		}
+		w.Keys = append(w.Keys, key)
+	}
+	s.rejectUnknownKeys()
+	return w
+}
+
+// addWorkspace adds a workspace and rejects a key that is held already.
+func (c *checker) addWorkspace(parsed *parsedSection) {
+	w := parsed.workspace
+	for _, key := range w.Keys {
 		if other, taken := c.snapshot.byKey[key]; taken {
-			s.addFault("keys", "contains %s, which workspace %q holds already", key, other.Name)
+			c.addFault("routes", parsed.title, "keys", "contains %s, which workspace %q holds already", key, other.Name)
 			continue
 		}
 		c.snapshot.byKey[key] = w
-		w.Keys = append(w.Keys, key)
 	}
-	s.rejectUnknownKeys()
 	c.snapshot.workspaces[w.Name] = w
 }
 
