standin: backend servers state a version and can be bad; the platform lists changes with their times

The platform stand-in lists the changes of keys with their times at /v1/changes, also during its faults, and the report of the callers names the node that each call was sent to.

--- a/cmd/rosemaryhatch-standin/main.go
+++ b/cmd/rosemaryhatch-standin/main.go
@@ -90,6 +90,12 @@
 	c.Flag("lag", "Age of the state that the health and load endpoints report.").DurationVar(&o.Lag)
 	c.Flag("advertise", "Address to register at the node, IP:port; --listen by default.").StringVar(&o.Address)
 	c.Flag("journal", "File to which each execution is appended as it begins, one JSON line each.").StringVar(&f.journal)
+	c.Flag("software", "Version of the software to register.").StringVar(&o.Version)
+	c.Flag("bad-share", "Share of the responses that are bad, 0 to 1.").Float64Var(&o.Defect.Share)
+	c.Flag("bad-slowdown", "Factor on the service times of bad responses; without it they fail with status 500.").Float64Var(&o.Defect.Slowdown)
+	c.Flag("bad-after", "Time after the first request from which responses are bad.").DurationVar(&o.Defect.After)
+	c.Flag("bad-above", "Number of running requests above which responses are bad.").IntVar(&o.Defect.Above)
+	c.Flag("bad-path", "Only path whose responses are bad; all by default.").StringVar(&o.Defect.Path)
 	c.Flag("call", "URL of a nested call that each request makes, such as a path at the callers' address of the node.").StringVar(&o.NestedCallURL)
 }
 
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -34,6 +34,8 @@
 	Lag             time.Duration // delay with which the health and load endpoints report the state
 	Journal         io.Writer     // receives one line of JSON when an execution begins; nil disables the journal
 	NestedCallURL   string        // URL called after the service time of each request; empty disables nested calls
+	Version         string        // version of the software, as registered; may be empty
+	Defect          Defect        // of that version
 }
 
 // Headers of requests and responses.
@@ -171,7 +173,7 @@
 	ctx, cancel := withDeadline(r)
 	defer cancel()
 	id := r.Header.Get(HeaderRequestID)
-	decision, ok := s.submit(arrived{id: id}).(accepted)
+	decision, ok := s.submit(arrived{id: id, path: r.URL.Path}).(accepted)
 	if !ok {
 		w.Header().Set(protocol.HeaderOutcome, "not_run")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -180,6 +182,12 @@
 	s.writeJournal(id)
 	err = s.execute(ctx, decision.serviceTime, r, id)
 	s.submit(finished{index: decision.index, cancelled: err != nil})
+	if err == nil && decision.fails {
+		w.Header().Set(HeaderRequestID, id)
+		w.Header().Set(protocol.HeaderCallID, r.Header.Get(protocol.HeaderCallID))
+		http.Error(w, "this version is configured to fail", http.StatusInternalServerError)
+		return
+	}
 	writeResponse(w, r, id, body, err)
 }
 
--- a/internal/standin/backend/register.go
+++ b/internal/standin/backend/register.go
@@ -46,7 +46,7 @@
 	}
 	body, err := json.Marshal(protocol.Registration{
 		Service: s.options.Service, Address: s.options.Address, Slots: s.options.Slots, State: state,
-		Sequence: s.sequence.Add(1), Born: s.born.UnixMilli(),
+		Sequence: s.sequence.Add(1), Born: s.born.UnixMilli(), Version: s.options.Version,
 	})
 	if err != nil {
 		return err
--- a/internal/standin/backend/state.go
+++ b/internal/standin/backend/state.go
@@ -31,6 +31,8 @@
 	Finished  *time.Time `json:"finished,omitempty"` // nil while the request runs
 	Cancelled bool       `json:"cancelled,omitempty"`
 	Overrun   bool       `json:"overrun,omitempty"` // began while all slots were in use
+	Path      string     `json:"path,omitempty"`
+	Bad       bool       `json:"bad,omitempty"` // failed or slowed down by Options.Defect
 }
 
 // Counts holds the counters of a stand-in since its start.
@@ -59,7 +61,7 @@
 // input is an event or a query that the state processes.
 type input interface{ isInput() }
 
-type arrived struct{ id string }
+type arrived struct{ id, path string }
 
 // finished reports the end of an execution. The index is that of its log entry, -1 if it has none.
 type finished struct {
@@ -95,6 +97,7 @@
 	accepted struct {
 		index       int
 		serviceTime time.Duration
+		fails       bool // responds with a failure after the service time
 	}
 	shed struct{}
 )
@@ -168,7 +171,13 @@
 		s.counts.AfterDrain++
 	}
 	s.recordSample(now)
-	return accepted{index: s.appendExecution(Execution{ID: in.id, Started: now, Overrun: overrun}), serviceTime: s.serviceTime(now)}
+	bad := s.options.Defect.applies(now.Sub(s.firstRequestAt), s.running, in.path) && s.random.Float64() < s.options.Defect.Share
+	decision := accepted{serviceTime: s.serviceTime(now), fails: bad && s.options.Defect.Slowdown == 0}
+	if bad && !decision.fails {
+		decision.serviceTime = time.Duration(s.options.Defect.Slowdown * float64(decision.serviceTime))
+	}
+	decision.index = s.appendExecution(Execution{ID: in.id, Started: now, Overrun: overrun, Path: in.path, Bad: bad})
+	return decision
 }
 
 // appendExecution adds an execution to the log and returns its index, or -1 if the log is full.
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -30,6 +30,7 @@
 	Status     int    `json:"status,omitempty"`
 	Refused    int    `json:"refused,omitempty"` // targets that refused the connection
 	Problem    string `json:"problem,omitempty"`
+	Target     string `json:"target,omitempty"` // address that the call was sent to last
 	// Due is the scheduled time of the call, Took the time from then until its end.
 	Due  time.Time     `json:"due"`
 	Took time.Duration `json:"took_ns"`
--- a/internal/standin/load/run.go
+++ b/internal/standin/load/run.go
@@ -90,6 +90,7 @@
 	defer cancel()
 	for attempt := range g.options.Targets {
 		target := g.options.Targets[(effect.target+attempt)%len(g.options.Targets)]
+		call.Target = target
 		response, err := g.transport.RoundTrip(newRequest(ctx, spec, target, effect.id, body))
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			call.Refused++
--- a/internal/standin/platform/fault.go
+++ b/internal/standin/platform/fault.go
@@ -10,8 +10,9 @@
 
 // Paths of the stand-in's own endpoints, which are not part of the store's protocol.
 const (
-	FaultPath = "/v1/fault"
-	CallsPath = "/v1/calls"
+	FaultPath   = "/v1/fault"
+	CallsPath   = "/v1/calls"
+	ChangesPath = "/v1/changes" // ?prefix=P lists the changes of the keys with a prefix
 )
 
 // FaultKind is a kind of fault that can be injected into the stand-in.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -28,6 +28,7 @@
 	leases            map[uint64]*lease  // by id, the revision at which the lease was granted
 	revision          uint64
 	events            []kv.Item
+	changes           []Change
 	compactedRevision uint64        // revision up to which events were dropped
 	changed           chan struct{} // closed and replaced at each change
 	calls             Calls
@@ -71,6 +72,9 @@
 	case CallsPath:
 		writeJSON(w, http.StatusOK, s.Calls())
 		return
+	case ChangesPath:
+		writeJSON(w, http.StatusOK, s.Changes(r.URL.Query().Get("prefix")))
+		return
 	}
 	handle, counter := s.findHandler(r)
 	if handle == nil {
@@ -286,14 +290,14 @@
 		item.CreateRevision = s.revision
 	}
 	s.items[write.Key] = item
-	s.events = append(s.events, item)
+	s.appendEvent(item)
 }
 
 // deleteItem deletes a key, if it exists, at the current revision. The caller holds the lock.
 func (s *Server) deleteItem(key string) {
 	if _, ok := s.items[key]; ok {
 		delete(s.items, key)
-		s.events = append(s.events, kv.Item{Key: key, Revision: s.revision, Deleted: true})
+		s.appendEvent(kv.Item{Key: key, Revision: s.revision, Deleted: true})
 	}
 }
 
