reducer: the nodes report to a node that takes over the decision on a roll-out

A decider that took over continued from the stored state, which still named the earlier one, and nodes reported to that until the new one wrote its own next step. It collected nothing until 55% of the duration, and took that next step without any response, since a service without calls counts as good. The new decider writes itself into the state first.

TestBadVersionIsFoundByTheNextDecider failed before (running 5.3 s after the order, decider the dead node) and passes now (rolled back after 5.15 s). go test ./reducer ./reducer/rollout ./internal/pump, and -race -short ./reducer ./internal/pump: ok.

--- a/reducer/rollout_lead.go
+++ b/reducer/rollout_lead.go
@@ -155,6 +155,11 @@
 	if lead.decider != nil && lead.decider.Held().Revision < stored.Revision || lead.decider == nil && running {
 		s.continueRollout(lead, stored)
 	}
+	if running && stored.Update.Decider != s.rolloutSelf() {
+		stored.Update.Decider, stored.Update.Refresh = s.rolloutSelf(), 0 // nodes report to the decider that the state names
+		s.writeRollout(lead, stored)
+		return
+	}
 	inUse, known := r.view.InUse(service, s.versionsOf(service))
 	switch {
 	case !ordered && running:
