reducer: a halt during an outage of the store stays when its decider loses the lease

A decider halted a version while the store was down, lost its lease, and acquired the next one itself. It made a new decider from the stored state, which was not halted, and got no more responses to judge by, because the halt that it had flooded had taken the version off all nodes. The new decider takes the halt and its reason over.

TestHaltStaysWhenItsDeciderLosesTheLease failed before (nothing was written) and passes now. go test ./reducer ./internal/pump, and -race -short ./reducer -run 'Rollout|Halt': ok.

--- a/reducer/rollout_failures_test.go
+++ b/reducer/rollout_failures_test.go
@@ -34,3 +34,26 @@
 		t.Errorf("counted %+v, expected one failure", c)
 	}
 }
+
+// Guards against a halt that is never stored: the store was down while it was decided and longer than the lease, and the
+// node that decided acquires the next lease, too. It gets no more responses of the new version to judge by.
+func TestHaltStaysWhenItsDeciderLosesTheLease(t *testing.T) {
+	s := newWorkspaceNode(t, "")
+	s.cfg.Rollouts.Enabled = true
+	s.initRollouts()
+	u := rollout.Update{Service: "v", Version: "v2", From: "v1", State: rollout.Running, Share: 0.04, Revision: 3, Order: 2, Decider: s.rolloutSelf()}
+	stored := rollout.Stored{Update: u, Revision: 3, Duration: 12 * time.Second}
+	lead := &rolloutLead{lease: 1, fence: 1, confirmed: true, ready: true}
+	s.rollouts.leads["v"] = lead
+	s.rollouts.orders["v"] = rollout.Order{Service: "v", Version: "v2", Duration: 12 * time.Second, Revision: 2}
+	s.takeWritten(lead, stored)
+	lead.decider.Halt("failures of the new version")
+	s.decideRollout(lead)
+	s.loseLead(lead)
+	lead.lease, lead.fence, lead.confirmed, lead.ready = 2, 2, true, true
+	s.considerOrder("v", lead)
+	s.decideRollout(lead)
+	if lead.writing == nil || lead.writing.Update.State != rollout.RolledBack || lead.writing.Status.Reason != "failures of the new version" {
+		t.Errorf("the next decider writes %+v, expected rolled_back with the reason of the halt", lead.writing)
+	}
+}
--- a/reducer/rollout_lead.go
+++ b/reducer/rollout_lead.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
@@ -173,6 +174,7 @@
 	case known && order.Version == inUse:
 		s.writeRollout(lead, rollout.Refuse(order, stored, s.rolloutSelf()))
 	case known:
+		lead.logged = ""
 		s.writeRollout(lead, rollout.Start(order, inUse, stored, s.rolloutSelf(), s.wallClockMillis()))
 	case s.now-lead.firstSeen >= order.Duration:
 		order.Problem = "no upstream of the service is known"
@@ -286,6 +288,10 @@
 		}
 	}
 	lead.decider = rollout.NewDecider(s.cfg.Rollouts, stored, s.rolloutSelf(), s.now)
+	// A halt that is not stored yet, as after an outage of the store, stays: without calls there is nothing to judge by.
+	if held := s.rollouts.view.Update(stored.Update.Service); held.Halted && held.Order == stored.Update.Order {
+		lead.decider.Halt(cmp.Or(lead.logged, "halted by an earlier decider"))
+	}
 }
 
 // probeDeadMembers asks nodes that count as dead for an answer while the decider waits for them: one whose address refuses
