--- a/internal/processtest/cluster.go
+++ b/internal/processtest/cluster.go
@@ -23,6 +23,10 @@
 	pollInterval = 50 * time.Millisecond
 	// startTimeout bounds the start of processes, for which the design sets no target. It is far above the usual time.
 	startTimeout = 60 * time.Second
+	// undisturbedTime is how long calls run without a fault before a fault is injected.
+	undisturbedTime = time.Second
+	// upstreamBound is the time until a failed or leaving upstream gets no more calls (I7 and section 5 of the design page).
+	upstreamBound = 3 * time.Second
 )
 
 // Build compiles the programs into directory. It names them by import path, because the tests run in the folder of this
@@ -34,8 +38,7 @@
 	return err
 }
 
-// Cluster is a platform stand-in and 4 nodes in two availability zones, each with a backend server. Each service
-// has one upstream in each zone: stitchroom beside n1 and n4, cuttable beside n2 and n3.
+// Cluster is a platform stand-in and nodes in two availability zones, each with a backend server.
 type Cluster struct {
 	fleet.Processes
 	Places           []*fleet.Place
@@ -47,18 +50,27 @@
 	// PlatformAddresses holds, by place, the address at which its node reaches the platform through a forwarder. The
 	// nodes of all other places connect to the platform directly.
 	PlatformAddresses map[*fleet.Place]string
+	// Settings is appended to the settings file of each node.
+	Settings string
+	// routesFormat formats the routes table of a version, pools is the table of pools.
+	routesFormat, pools string
 }
 
-// New returns a cluster whose addresses are assigned and whose processes are not started. Settings, tables, logs and
-// execution journals go into directory.
+// New returns a cluster of 4 nodes whose addresses are assigned and whose processes are not started. Each service has one
+// upstream in each zone: stitchroom beside n1 and n4, cuttable beside n2 and n3. Settings, tables, logs and execution
+// journals go into directory.
 func New(programs, directory string) (*Cluster, error) {
+	return newCluster(programs, directory, routesFormat, poolsTable, []*fleet.Place{
+		{ID: "n1", Zone: "Larvik", Service: "stitchroom"}, {ID: "n2", Zone: "Larvik", Service: "cuttable"},
+		{ID: "n3", Zone: "Horten", Service: "cuttable"}, {ID: "n4", Zone: "Horten", Service: "stitchroom"},
+	})
+}
+
+func newCluster(programs, directory, routesFormat, pools string, places []*fleet.Place) (*Cluster, error) {
 	c := &Cluster{
-		Processes: fleet.Processes{Directory: directory}, programDirectory: programs,
+		Processes: fleet.Processes{Directory: directory}, programDirectory: programs, Places: places,
 		BackendArgs: map[*fleet.Place][]string{}, PlatformAddresses: map[*fleet.Place]string{},
-		Places: []*fleet.Place{
-			{ID: "n1", Zone: "Larvik", Service: "stitchroom"}, {ID: "n2", Zone: "Larvik", Service: "cuttable"},
-			{ID: "n3", Zone: "Horten", Service: "cuttable"}, {ID: "n4", Zone: "Horten", Service: "stitchroom"},
-		},
+		routesFormat: routesFormat, pools: pools,
 	}
 	var err error
 	c.platformAddress, err = fleet.AssignAddresses(c.Places)
@@ -105,7 +117,7 @@
 	if forwarder, ok := c.PlatformAddresses[p]; ok {
 		platform = forwarder
 	}
-	return c.Processes.StartNode(ctx, p, c.programDirectory, fleet.NodeSettings(p, c.Places, platform))
+	return c.Processes.StartNode(ctx, p, c.programDirectory, fleet.NodeSettings(p, c.Places, platform)+c.Settings)
 }
 
 // journalPath returns the file in which the backend server of a place records its executions.
@@ -115,7 +127,7 @@
 
 // Apply replaces version-1 by version with rosemaryhatchctl, which queries the running nodes.
 func (c *Cluster) Apply(ctx context.Context, version uint64) error {
-	for name, text := range map[string]string{operator.RoutesFile: fmt.Sprintf(routesFormat, version), operator.PoolsFile: poolsTable} {
+	for name, text := range map[string]string{operator.RoutesFile: fmt.Sprintf(c.routesFormat, version), operator.PoolsFile: c.pools} {
 		if err := os.WriteFile(filepath.Join(c.Directory, name), []byte(text), 0o600); err != nil {
 			return oops.In("processtest").Wrap(err)
 		}
--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -15,8 +15,6 @@
 
 // Bounds from the design page, whose sections stand in parentheses.
 const (
-	// upstreamBound is the time until a failed or leaving upstream gets no more calls (I7, section 5).
-	upstreamBound = 3 * time.Second
 	// versionBound is the time until a new version is active on all nodes (section 1.3).
 	versionBound = 7 * time.Second
 	// keyBound is how long the loss of a key owner blocks first requests with the keys that it owned (section 6.3).
@@ -32,8 +30,6 @@
 	// Before that time a new node cannot know whether a copy of the call ran at an upstream that is gone, so it runs no
 	// repeated request.
 	keyOwnersKnownAfter = 10*time.Second + 31*time.Second
-	// undisturbedTime is how long calls run without a fault before a fault is injected.
-	undisturbedTime = time.Second
 )
 
 var programDirectory string
@@ -62,18 +58,25 @@
 // startCluster starts a cluster and stops it at the end of the test. If change is not nil, it adjusts the cluster before the
 // start.
 func startCluster(t *testing.T, change func(*Cluster)) *Cluster {
+	t.Helper()
+	return startClusterOf(t, New, change)
+}
+
+// startClusterOf is startCluster for a cluster that newCluster returns.
+func startClusterOf(t *testing.T, newCluster func(programs, directory string) (*Cluster, error), change func(*Cluster)) *Cluster {
 	t.Helper()
 	t.Parallel()
-	c, err := New(programDirectory, t.TempDir())
+	c, err := newCluster(programDirectory, t.TempDir())
 	requireNoError(t, err)
 	t.Cleanup(func() {
 		c.Stop()
 		if !t.Failed() {
 			return
 		}
-		for _, p := range c.Places {
-			text, _ := os.ReadFile(filepath.Join(c.Directory, p.ID+".log"))
-			t.Logf("end of the log of %s:\n%s", p.ID, text[max(0, len(text)-logTailBytes):])
+		logs, _ := filepath.Glob(filepath.Join(c.Directory, "*.log"))
+		for _, path := range logs { // also those of the stand-ins
+			text, _ := os.ReadFile(path)
+			t.Logf("end of %s:\n%s", filepath.Base(path), text[max(0, len(text)-logTailBytes):])
 		}
 	})
 	if change != nil {
