reducer: nested calls leave room for calls of higher priority

Nested calls went before all calls that had not begun, up to 75 in 100 of the slot time.

A nested call now goes before a call of higher priority only if that can still end by its due time after it, if the nested call cannot wait either, or with 5 in 100 of the slot time; admission of calls of higher priority leaves 20 in 100 to nested ones. Nested calls are queued by priority, which is that of the request that made them where that is known and more urgent. They take no place in a full queue from a higher priority, and give theirs up beyond a fifth of the places.

Run: go test -p 2 -race -short ./reducer/..., GOMAXPROCS=2: passed.

--- a/reducer/admission.go
+++ b/reducer/admission.go
@@ -54,7 +54,7 @@
 	service, deviation := s.expectedService(call)
 	q.noteShortest(call, service)
 	if call.nested {
-		return missesDeadline(q.nestedWait(slots, pool, call.due), service, deviation, call.deadline-s.now)
+		return missesDeadline(q.nestedWait(call.priority, slots, pool, call.due), service, deviation, call.deadline-s.now)
 	}
 	if call.due > 0 {
 		call.late = missesDeadline(q.waitOfCall(call, slots, pool, call.due), service, deviation, call.due-s.now)
@@ -151,7 +151,7 @@
 			return q.waiting[p].tail
 		}
 	}
-	return nil
+	return q.evictionOfNested(priority, pool)
 }
 
 // reservedPlaces returns how many places in the queue the minimum share reserves for a priority.
--- a/reducer/estimate.go
+++ b/reducer/estimate.go
@@ -83,7 +83,7 @@
 		return 0
 	}
 	rate := float64(max(slots, 1)) - q.nested.arrivalRate(slots, pool)
-	ahead := q.meanRunningCost() + q.nested.list.work.Seconds()
+	ahead := q.meanRunningCost() + q.nested.work(0, tables.Priorities-1)
 	for p := range q.waiting {
 		if p > priority && q.waiting[p].letsGoFirst(cost) {
 			rate -= q.shareRateInUse(p, slots, pool)
@@ -110,23 +110,27 @@
 // waitByPriority estimates the wait in seconds by the order of priorities, +Inf when the arrivals that go first take
 // all slots.
 func (q *priorityQueue) waitByPriority(priority, slots int, pool tables.Pool, own float64) float64 {
-	rate := float64(max(slots, 1)) - q.nested.arrivalRate(slots, pool)
-	ahead := q.meanRunningCost() + q.nested.list.work.Seconds()
+	ahead, rate := q.aheadOf(priority, slots, pool)
+	if rate <= 0 {
+		return math.Inf(1)
+	}
+	return (ahead + own) / rate
+}
+
+// aheadOf returns the work in front of the calls of a priority, in seconds of slot time, and the rate at which this work and
+// their own is served.
+func (q *priorityQueue) aheadOf(priority, slots int, pool tables.Pool) (ahead, rate float64) {
+	rate = float64(max(slots, 1)) - q.nested.rateBefore(priority, slots, pool)
+	ahead = q.meanRunningCost() + q.nested.work(0, priority)
 	for p := range q.waiting {
-		switch {
-		case p < priority:
+		if p < priority {
 			ahead += q.waiting[p].work.Seconds()
 			rate -= q.arrivalRate(p)
-		case p == priority:
-			ahead += own
-		default:
+		} else if p > priority {
 			rate -= q.shareRateInUse(p, slots, pool)
 		}
 	}
-	if rate <= 0 {
-		return math.Inf(1)
-	}
-	return ahead / rate
+	return ahead, rate
 }
 
 // shareRateInUse returns the slot time per second that a less urgent priority takes for its minimum share: all of it
--- a/reducer/nested/callers.go
+++ b/reducer/nested/callers.go
@@ -22,6 +22,8 @@
 	maxIdleShare = 0.25
 	// maxRunningRoutes bounds the routes that are considered as the caller of a nested one.
 	maxRunningRoutes = 64
+	// certainShare is the probability from which a statement about the request that made a nested call is acted on.
+	certainShare = 0.95
 	// minCallWeight and minRunTime are the weights below which an observation is forgotten.
 	minCallWeight = 0.01
 	minRunTime    = 0.01 // seconds
@@ -43,8 +45,10 @@
 type runningRoute struct {
 	name    string
 	running int
-	ran     float64            // seconds for which its requests ran
-	calls   map[string]float64 // nested calls that they are taken to have made, by route
+	// priority is that of the least urgent request since the last time at which none ran: workspaces may have their own.
+	priority int
+	ran      float64            // seconds for which its requests ran
+	calls    map[string]float64 // nested calls that they are taken to have made, by route
 }
 
 // arrivals counts the calls of a route that enter at this node.
@@ -59,8 +63,8 @@
 	return nil
 }
 
-// Started notes that a request of a route was started at the backend server.
-func (c *Callers) Started(now time.Duration, route string) {
+// Started notes that a request of a route and a priority was started at the backend server.
+func (c *Callers) Started(now time.Duration, route string, priority int) {
 	c.advance(now)
 	c.total++
 	r := c.find(route)
@@ -71,6 +75,9 @@
 		r = &runningRoute{name: route, calls: map[string]float64{}}
 		c.routes = append(c.routes, r)
 	}
+	if r.running == 0 || priority > r.priority {
+		r.priority = priority
+	}
 	r.running++
 }
 
@@ -148,7 +155,7 @@
 	for _, r := range c.routes {
 		if r.running > 0 {
 			share := float64(r.running) * (r.calls[nested] + priorCalls) / (r.ran + priorTime)
-			c.shares = append(c.shares, Share{r.name, share})
+			c.shares = append(c.shares, Share{r.name, r.priority, share})
 			sum += share
 		}
 	}
@@ -161,3 +168,20 @@
 	}
 	return c.shares
 }
+
+// Priority returns the priority of a nested call: that of its route, or a more urgent one if the request that made it almost
+// certainly has that or a more urgent one, by the probabilities that Called returned.
+func Priority(ofRoute int, madeBy []Share) int {
+	for priority := range ofRoute {
+		sum := 0.0
+		for _, share := range madeBy {
+			if share.Priority <= priority {
+				sum += share.Value
+			}
+		}
+		if sum >= certainShare {
+			return priority
+		}
+	}
+	return ofRoute
+}
--- a/reducer/nested/nested_test.go
+++ b/reducer/nested/nested_test.go
@@ -8,7 +8,9 @@
 )
 
 // zone has the shares of the services at the deployment of 63 nodes.
-var zone = []Share{{"attendance", 4.0 / 63}, {"documents", 6.0 / 63}, {"reservations", 24.0 / 63}, {"vacancies", 29.0 / 63}}
+var zone = []Share{
+	{Name: "attendance", Value: 4.0 / 63}, {Name: "documents", Value: 6.0 / 63}, {Name: "reservations", Value: 24.0 / 63}, {Name: "vacancies", Value: 29.0 / 63},
+}
 
 // drawService returns a service at random by the shares.
 func drawService(rng *rand.Rand, shares []Share) string {
@@ -126,7 +128,7 @@
 		now += time.Millisecond
 		for len(running) < 6 { // always busy
 			route := []string{"check", "search"}[rng.IntN(2)]
-			c.Started(now, route)
+			c.Started(now, route, 0)
 			running = append(running, execution{route, now + time.Duration(60+rng.IntN(120))*time.Millisecond})
 		}
 		for i := len(running) - 1; i >= 0; i-- {
--- a/reducer/nested/origins.go
+++ b/reducer/nested/origins.go
@@ -51,10 +51,11 @@
 	routes map[string]*origins
 }
 
-// Share is the probability that a named route has made a call.
+// Share is the probability that a request of a named route and a priority has made a call.
 type Share struct {
-	Name  string
-	Value float64
+	Name     string
+	Priority int
+	Value    float64
 }
 
 // origins holds the weights of the calls of one route.
--- a/reducer/nested_calls.go
+++ b/reducer/nested_calls.go
@@ -33,6 +33,7 @@
 
 // noteNested decides whether a new call is nested: its caller says so, or its targets have learned it and it does not
 // arrive while nothing runs beside this node. The deadline counts for a nested call, not the target latency of its route.
+// Its priority is that of the request that made it where that is known and higher than that of its route.
 func (s *State) noteNested(call *ingressCall) {
 	n := &s.nested
 	n.callers.Entered(call.route.Name)
@@ -42,10 +43,11 @@
 	}
 	call.nested, call.due = true, 0
 	if outer := s.target.byID[call.parent]; outer != nil {
-		call.madeBy = []nested.Share{{Name: outer.route, Value: 1}}
-		return
+		call.madeBy = []nested.Share{{Name: outer.route, Priority: outer.priority, Value: 1}}
+	} else {
+		call.madeBy = slices.Clone(n.callers.Called(s.now, call.route.Name))
 	}
-	call.madeBy = slices.Clone(n.callers.Called(s.now, call.route.Name))
+	call.route.Priority = nested.Priority(call.route.Priority, call.madeBy)
 }
 
 // loadClass returns the priority of a call for estimates of the load of upstreams, or nestedClass.
--- a/reducer/queue.go
+++ b/reducer/queue.go
@@ -128,7 +128,7 @@
 	q.lastSeq++
 	call.queueSeq = q.lastSeq
 	if call.nested {
-		q.nested.arrived += call.cost.Seconds()
+		q.nested.arrived[call.priority] += call.cost.Seconds()
 	} else if !call.late {
 		q.arrivedWork[call.priority] += call.cost.Seconds()
 	}
@@ -147,7 +147,7 @@
 // list returns the list that a call belongs to.
 func (q *priorityQueue) list(call *targetCall) *callList {
 	if call.nested {
-		return &q.nested.list
+		return &q.nested.lists[call.priority]
 	}
 	if call.late {
 		return &q.late[call.priority]
@@ -208,8 +208,7 @@
 	if q.discipline == DisciplineFIFO {
 		return q.oldest(), false
 	}
-	nested := q.nested.list.head
-	if nested != nil && q.nested.credit > 0 {
+	if nested := q.nextNested(slots, pool); nested != nil {
 		return nested, false
 	}
 	for p := range q.waiting {
@@ -224,8 +223,10 @@
 			return head, true
 		}
 	}
-	if call == nil && nested != nil {
-		return nested, false
+	if call == nil {
+		if nested := q.earliestNested(tables.Priorities-1, slots); nested != nil {
+			return nested, false
+		}
 	}
 	for p := range q.late {
 		if head := q.late[p].head; head != nil && (call == nil || head.goesAheadOf(call)) {
@@ -269,7 +270,7 @@
 // which no call of higher precedence waited for, adds debt only up to what the share earns in shareWindow.
 func (q *priorityQueue) charge(call *targetCall, cost time.Duration, slots int, pool tables.Pool) {
 	if call.nested {
-		q.nested.charge(cost, slots, pool)
+		q.nested.charge(call, cost, slots, pool)
 		return
 	}
 	credit := &q.credit[call.priority]
@@ -309,10 +310,7 @@
 // queuedCalls returns all queued calls, the late ones last.
 func (q *priorityQueue) queuedCalls() []*targetCall {
 	var calls []*targetCall
-	for call := q.nested.list.head; call != nil; call = call.next {
-		calls = append(calls, call)
-	}
-	for _, lists := range [...]*[tables.Priorities]callList{&q.waiting, &q.late} {
+	for _, lists := range [...]*[tables.Priorities]callList{&q.nested.lists, &q.waiting, &q.late} {
 		for p := range lists {
 			for call := lists[p].head; call != nil; call = call.next {
 				calls = append(calls, call)
--- a/reducer/queue_fair.go
+++ b/reducer/queue_fair.go
@@ -132,7 +132,7 @@
 func (q *priorityQueue) evictionFor(call *targetCall, pool tables.Pool) *targetCall {
 	switch {
 	case call.nested:
-		return q.evictionForNested(pool)
+		return q.evictionForNested(call.priority, pool)
 	case call.flow != nil:
 		return q.evictionByShare(call, pool)
 	default:
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -45,6 +45,7 @@
 	due          time.Duration      // 0 when there is none
 	late         bool               // it is not expected to end by its due time
 	cost         time.Duration      // expected slot time
+	overtakes    bool               // a nested call that used overtake credit
 	fromMinShare bool               // its slot counts towards the minimum share of its priority
 	queueSeq     uint64             // order of arrival
 	retriesUsed  int                // retries of calls made on its behalf
@@ -169,7 +170,7 @@
 	s.links.out.Start(uint64(call.handle))
 	s.target.queuedBytes -= call.bytes
 	s.target.running++
-	s.nested.callers.Started(s.now, call.route)
+	s.nested.callers.Started(s.now, call.route, call.priority)
 	s.noteStart(call)
 	s.emit(CallQueued{Call: call.handle, Priority: call.priority, Wait: s.now - call.queuedAt})
 	left := call.deadline - s.now
