--- a/runner/ingress/scanner.go
+++ b/runner/ingress/scanner.go
@@ -87,8 +87,7 @@
 
 func (s *requestScanner) stop() { s.stopped, s.head = true, nil }
 
-// endOfHead counts a complete head and parses it if it is numbered parseFrom or later. The result is false unless the
-// request was parsed and has no body.
+// endOfHead counts a complete head. The result is false unless the request is numbered parseFrom or later and has no body.
 func (s *requestScanner) endOfHead(head []byte, parseFrom int) (scannedRequest, bool) {
 	framing := inspectHead(head)
 	if framing == framingUnclear {
@@ -107,7 +106,7 @@
 	}
 	s.heads++
 	s.bodyBytes = request.ContentLength
-	return scannedRequest{number: number, request: request}, request.ContentLength == 0
+	return scannedRequest{number: number, request: request}, request.ContentLength == 0 && number >= parseFrom
 }
 
 // isUsualRequest reports whether net/http passes a request to its handler. It answers some requests itself.
