reducer: test of the shares of a split over 10,000 requests

4 and 63 nodes, weights 90:10, 50:50 and 99:1, also while an upstream of one branch drains and leaves: each share is within 2 in 100, and nothing is refused.

--- a/reducer/split_test.go
+++ b/reducer/split_test.go
@@ -102,3 +102,49 @@
 		t.Errorf("forwarded %v, refused %d: the share of p is %.3f, expected 0.7", forwarded, refused, share)
 	}
 }
+
+// Guards against a split whose shares are off by more than 2 in 100 over 10,000 requests, also while an upstream of one branch
+// drains: the other upstreams of that branch take its calls, and the other branch takes none of them.
+func TestSharesOfASplitHoldWhileAnUpstreamDrains(t *testing.T) {
+	const (
+		calls    = 10_000
+		maxError = 0.02
+	)
+	for _, n := range []int{4, 63} {
+		for _, weights := range [][2]int{{90, 10}, {50, 50}, {99, 1}} {
+			for _, draining := range []bool{false, true} {
+				nodes := splitNodes(t, n, weights[0], weights[1])
+				setUpstream(nodes, "up-t-2", 1, UpstreamReady)
+				before, _ := sendSplit(nodes, calls/4, 1)
+				if draining {
+					setUpstream(nodes, "up-t-2", 2, UpstreamDraining)
+				}
+				during, refused := sendSplit(nodes, calls/2, 2)
+				if draining {
+					setUpstream(nodes, "up-t-2", 3, UpstreamDown)
+				}
+				after, refusedAfter := sendSplit(nodes, calls/4, 3)
+				for name, forwarded := range map[string]map[string]int{"while it drains": during, "in all": {
+					"p": before["p"] + during["p"] + after["p"], "q": before["q"] + during["q"] + after["q"],
+				}} {
+					share, want := float64(forwarded["p"])/float64(forwarded["p"]+forwarded["q"]), float64(weights[0])/100
+					if math.Abs(share-want) > maxError {
+						t.Errorf("%d nodes, weights %v, draining %v: share of p %.4f %s, expected %.2f", n, weights, draining, share, name, want)
+					}
+				}
+				if refused+refusedAfter > 0 {
+					t.Errorf("%d nodes, weights %v, draining %v: %d refused", n, weights, draining, refused+refusedAfter)
+				}
+			}
+		}
+	}
+}
+
+// setUpstream tells all nodes the state of an upstream of the service t.
+func setUpstream(nodes []*State, node NodeID, sequence uint64, state UpstreamState) {
+	m := Member{Node: node, Zone: "z", Address: "127.0.0.1:1", Incarnation: 1, Sequence: sequence, State: MemberAlive}
+	m.Upstream = Upstream{Service: "t", Slots: 100, State: state}
+	for _, n := range nodes {
+		Reduce(n, Event{Now: time.Hour, Input: PeerMessage{From: m.Ref(), Message: MemberUpdate{Members: []Member{m}}}})
+	}
+}
