demo: shows a download, a traffic split and a pipelined connection

Each has a line with what was observed, and the demo ends with 1 if a download was not forwarded while it was received, a share of the split was off by more than 2 in 100, or pipelined requests ran in turn or were answered out of order. Run: go test -race ./internal/demo ./internal/standin/...: passed.

--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/internal/standin/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/internal/standin/load"
 	"github.com/rosemaryhatch/rosemaryhatch/operator"
 )
@@ -34,6 +36,40 @@
 	}
 }
 
+// Guards against a demo that succeeds although a download, the split or the pipelined connection did not show what it should.
+func TestEachFeatureThatIsNotSeenIsReported(t *testing.T) {
+	content := backend.DownloadContent(downloadBytes)
+	ordered := func(paths ...int) (bodies []string) {
+		for _, i := range paths {
+			bodies = append(bodies, "id "+pipelinedPath(i)+" ")
+		}
+		return bodies
+	}
+	for name, c := range map[string]struct {
+		feature feature
+		fault   string
+	}{
+		"download":           {judgeDownload(content, 200*time.Millisecond, time.Second), ""},
+		"download as whole":  {judgeDownload(content, 990*time.Millisecond, time.Second), "forwarded while"},
+		"changed download":   {judgeDownload(append(content[1:], 0), 0, time.Second), "not what"},
+		"cut download":       {judgeDownload(content[:downloadBytes/2], 0, time.Second), "not what"},
+		"split":              {judgeSplit(map[string]int{"stitchroom": 470, "cuttable": 130}), ""},
+		"uneven split":       {judgeSplit(map[string]int{"stitchroom": 460, "cuttable": 140}), "share of"},
+		"split with losses":  {judgeSplit(map[string]int{"stitchroom": 480, "cuttable": 119, "none": 1}), "1 calls"},
+		"pipeline":           {judgePipeline(ordered(0, 1, 2, 3), 300*time.Millisecond), ""},
+		"pipeline in turn":   {judgePipeline(ordered(0, 1, 2, 3), pipelinedCalls*pipelinedTime), "one after the other"},
+		"pipeline unordered": {judgePipeline(ordered(0, 2, 1, 3), 0), "order"},
+	} {
+		if got := c.feature.fault; (got == "") != (c.fault == "") || !strings.Contains(got, c.fault) {
+			t.Errorf("%s: fault is %q, expected one with %q", name, got, c.fault)
+		}
+		broken := (observation{report: load.Report{Routes: []load.RouteReport{{Outcomes: map[string]int{load.OutcomeDone: 1}}}}, features: []feature{c.feature}}).brokenPromises()
+		if (len(broken) > 0) != (c.fault != "") {
+			t.Errorf("%s: broken are %v", name, broken)
+		}
+	}
+}
+
 // Guards against demo tables that nodes reject and edits that do not change both tables.
 func TestTablesOfTheDemoAreValid(t *testing.T) {
 	for edit := range 3 {
--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -52,6 +52,19 @@
 idempotent = yes
 timeout = %dms
 
+[route documents]
+path = /documents
+pool = stitchroom
+idempotent = yes
+streaming = yes
+timeout = 5s
+
+[route offers]
+path = /offers
+split = stitchroom:%d, cuttable:%d
+idempotent = yes
+timeout = 2s
+
 [route orders]
 path = /orders
 methods = POST
@@ -65,7 +78,7 @@
 priority = 4
 idempotent = yes
 timeout = 2s
-`, 1500+100*edit)
+`, 1500+100*edit, splitPercent, 100-splitPercent)
 	pools = fmt.Sprintf(`[pool stitchroom]
 service = stitchroom
 ramp = 1s
@@ -79,7 +92,7 @@
 	return routes, pools
 }
 
-// callSpecs holds the specifications of the generated calls, one for each route of formatTables.
+// callSpecs holds the specifications of the generated calls, one for each route of formatTables that the load uses.
 var callSpecs = []string{
 	"dues,path=/dues,priority=0,rate=60,idempotent=no,timeout=2s",
 	"catalogue,path=/catalogue,priority=1,rate=80,idempotent=yes,timeout=1500ms",
--- a/internal/demo/main.go
+++ b/internal/demo/main.go
@@ -1,6 +1,6 @@
 // Command demo runs the system on one machine. It builds the programs, starts a platform stand-in, 4 nodes in two
-// availability zones and their backend servers as processes on loopback addresses, edits the tables under load, stops one
-// node gracefully, kills another, and compares the answers to callers with the executions of the backend servers. It exits
+// availability zones and their backend servers as processes on loopback addresses, shows a download, a traffic split and a
+// pipelined connection, edits the tables under load, stops one node gracefully, kills another, and compares the answers to callers with the executions of the backend servers. It exits
 // with 1 if a promise was broken or a step failed.
 package main
 
@@ -81,7 +81,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, demoTimeout)
 	defer cancel()
-	for _, step := range []func(context.Context) error{d.startFleet, d.injectFaults, d.verify} {
+	for _, step := range []func(context.Context) error{d.startFleet, d.observeTraffic, d.injectFaults, d.verify} {
 		if err := step(ctx); err != nil {
 			return err
 		}
--- a/internal/demo/verdict.go
+++ b/internal/demo/verdict.go
@@ -21,6 +21,7 @@
 
 // observation holds the results of a demo run.
 type observation struct {
+	features    []feature
 	activations []activation
 	stopErr     error // how the node ended that was stopped gracefully; nil if cleanly
 	report      load.Report
@@ -35,6 +36,11 @@
 // brokenPromises returns a description of each promise that was not kept.
 func (o observation) brokenPromises() []string {
 	var out []string
+	for _, f := range o.features {
+		if f.fault != "" {
+			out = append(out, f.fault)
+		}
+	}
 	for _, a := range o.activations {
 		if a.took > activationLimit {
 			out = append(out, fmt.Sprintf("version %d took %v to be active everywhere, at most %v is allowed", a.version, a.took, activationLimit))
@@ -66,6 +72,9 @@
 // write prints the results and the broken promises.
 func (o observation) write(w io.Writer) {
 	fmt.Fprintln(w)
+	for _, f := range o.features {
+		fmt.Fprintln(w, f.seen)
+	}
 	for _, a := range o.activations {
 		fmt.Fprintf(w, "version %d active everywhere after %v\n", a.version, a.took.Round(time.Millisecond))
 	}
--- a/internal/standin/backend/backend.go
+++ b/internal/standin/backend/backend.go
@@ -178,8 +178,14 @@
 		return
 	}
 	s.writeJournal(id)
-	err = s.execute(ctx, decision.serviceTime, r, id)
+	err = s.execute(ctx, max(decision.serviceTime, requestedTime(r)), r, id)
 	s.submit(finished{index: decision.index, cancelled: err != nil})
+	w.Header().Set(HeaderService, s.options.Service)
+	if length := requestedBytes(r); length > 0 && err == nil {
+		w.Header().Set(protocol.HeaderCallID, r.Header.Get(protocol.HeaderCallID))
+		writeDownload(ctx, w, r, DownloadContent(length))
+		return
+	}
 	writeResponse(w, r, id, body, err)
 }
 
