--- a/internal/measure/nodes/child.go
+++ b/internal/measure/nodes/child.go
@@ -29,8 +29,12 @@
 // startChild runs this program as a child process that hosts nodes, and sends the activations it reports to a
 // channel.
 func startChild(o hostOptions, to chan<- activation) *child {
-	self, err := os.Executable()
-	must(err)
+	program := o.program
+	if program == "" {
+		self, err := os.Executable()
+		must(err)
+		program = self
+	}
 	args := []string{"host", "--zone", fmt.Sprint(o.zone), "--first", fmt.Sprint(o.first), "--count", fmt.Sprint(o.count), "--platform", o.platform, "--gap", fmt.Sprint(o.startInterval)}
 	if o.backend != "" {
 		args = append(args, "--backend", o.backend)
@@ -38,7 +42,11 @@
 	if o.register {
 		args = append(args, "--register")
 	}
-	c := &child{options: o, command: exec.Command(self, args...), ended: make(chan struct{})}
+	if o.observed {
+		args = append(args, "--observed")
+	}
+	var err error
+	c := &child{options: o, command: exec.Command(program, args...), ended: make(chan struct{})}
 	c.command.Stderr = os.Stderr
 	c.stdin, err = c.command.StdinPipe()
 	must(err)
@@ -71,8 +79,9 @@
 
 // usage holds the resources that a process has used.
 type usage struct {
-	processor time.Duration
-	resident  int64 // bytes
+	processor    time.Duration // user and system together
+	user, system time.Duration
+	resident     int64 // bytes
 }
 
 const clockTick = 10 * time.Millisecond // unit of processor times in /proc on all platforms that Go supports
@@ -88,7 +97,10 @@
 	must(err)
 	pages, err := strconv.ParseInt(fields[21], 10, 64)
 	must(err)
-	return usage{time.Duration(user+system) * clockTick, pages * int64(os.Getpagesize())}
+	return usage{
+		processor: time.Duration(user+system) * clockTick, user: time.Duration(user) * clockTick, system: time.Duration(system) * clockTick,
+		resident: pages * int64(os.Getpagesize()),
+	}
 }
 
 // must ends the program on an error, because a measurement with a broken setup has no result.
--- a/internal/measure/nodes/fleet.go
+++ b/internal/measure/nodes/fleet.go
@@ -11,6 +11,7 @@
 	standin "github.com/rosemaryhatch/rosemaryhatch/internal/standin/platform"
 	"github.com/rosemaryhatch/rosemaryhatch/platform"
 	"github.com/rosemaryhatch/rosemaryhatch/platform/kv"
+	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
 const (
@@ -35,13 +36,17 @@
 	children    []*child
 	activations chan activation
 	version     uint64 // last version published
+	document    func(version uint64) tables.Document
 }
 
 // startPlatform starts a platform that holds the first version of the tables. It starts no nodes.
-func startPlatform() *fleet {
+func startPlatform() *fleet { return startPlatformWith(document) }
+
+// startPlatformWith starts a platform like startPlatform, with tables of another content.
+func startPlatformWith(document func(version uint64) tables.Document) *fleet {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	f := &fleet{kv: standin.New(), address: listener.Addr().String(), activations: make(chan activation, 1<<16)}
+	f := &fleet{kv: standin.New(), address: listener.Addr().String(), activations: make(chan activation, 1<<16), document: document}
 	f.server = &http.Server{Handler: f.kv}
 	go f.server.Serve(listener)
 	f.store = kv.New(f.address)
@@ -81,7 +86,7 @@
 // publish writes the next version of the tables and returns when the successful write began.
 func (f *fleet) publish() time.Time {
 	f.version++
-	value, err := json.Marshal(document(f.version))
+	value, err := json.Marshal(f.document(f.version))
 	must(err)
 	// The write can conflict: a node that starts confirms the document by writing it unchanged, which raises the
 	// revision.
--- a/internal/measure/nodes/host.go
+++ b/internal/measure/nodes/host.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	_ "net/http/pprof"
 	"os"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/rosemaryhatch/rosemaryhatch/node"
 	"github.com/rosemaryhatch/rosemaryhatch/platform/kv"
@@ -31,9 +33,11 @@
 type hostOptions struct {
 	zone, first, count int
 	platform           string        // address
-	backend            string        // address of the backend server of the first node; empty if none is running
+	backend            string        // address of the backend server of the nodes; empty if none is running
 	register           bool          // register a backend server with each node
 	startInterval      time.Duration // between the starts of two nodes
+	observed           bool          // run the only node as a product process does, and serve its profiles
+	program            string        // path of the program to start; empty for this one
 }
 
 // run runs the nodes until standard input is closed, which happens when the parent ends, or until hostTimeout.
@@ -46,7 +50,13 @@
 	if h.count == 1 {
 		node.TuneRuntime(settings.Runtime{Processors: 2})
 	}
-	logger := &activationLogger{}
+	var logger log.Logger = &activationLogger{}
+	if h.observed {
+		node.TuneRuntime(settings.Runtime{Processors: 2, MemoryBytes: loadMemory})
+		go http.ListenAndServe(address(h.zone, h.first, portProfile), nil) // net/http/pprof has registered its handlers
+		logger = level.NewFilter(log.NewLogfmtLogger(log.NewSyncWriter(io.Discard)), level.AllowInfo())
+		logger = log.With(logger, "ts", log.DefaultTimestampUTC)
+	}
 	var nodes sync.WaitGroup
 	for index := h.first; index < h.first+h.count; index++ {
 		s := h.settings(index)
@@ -84,6 +94,7 @@
 		Platform: settings.Platform{Address: h.platform},
 		Limits:   settings.Limits{Calls: 4096, BodyBytes: 128 << 20, QueuedBytes: 64 << 20, ResponseBytes: 64 << 20, Records: 100_000},
 		Shutdown: settings.Shutdown{Timeout: time.Second},
+		Log:      settings.Log{Level: "info", Format: "logfmt"},
 	}
 }
 
@@ -94,7 +105,7 @@
 	if in.Address == "" {
 		in.Address = "127.0.0.1:1"
 	} else {
-		in.Service, in.Slots = serviceName(0), 64
+		in.Slots = 64
 	}
 	body, err := json.Marshal(in)
 	if err != nil {
--- a/internal/measure/nodes/main.go
+++ b/internal/measure/nodes/main.go
@@ -14,26 +14,36 @@
 func main() {
 	app := kingpin.New("nodes", "Measures the cost of events, nodes and calls.")
 	run := app.Command("run", "Measure.").Default()
-	part := run.Flag("part", "What to measure.").Default("all").Enum("all", "events", "fleet", "control", "calls")
+	part := run.Flag("part", "What to measure.").Default("all").Enum("all", "events", "fleet", "control", "calls", "load")
 	sizes := run.Flag("nodes", "Sizes of the fleet; repeatable.").Default("8", "16", "32", "64", "128").Ints()
 	rates := run.Flag("rate", "Calls a second under load; repeatable.").Default("200", "1000").Ints()
 	among := run.Flag("among", "Number of nodes in the control part.").Default("128").Int()
 	window := run.Flag("window", "Duration of a measurement at rest.").Default("5s").Duration()
+	loaded := loadOptions{}
+	run.Flag("members", "Number of nodes in the load part.").Default("90").IntVar(&loaded.size)
+	run.Flag("against", "In the load part, another build of this program for a second observed node.").StringVar(&loaded.against)
+	run.Flag("profiles", "In the load part, prefix of the paths of CPU profiles.").StringVar(&loaded.profiles)
 	host := app.Command("host", "Run nodes of one zone.").Hidden()
 	h := hostOptions{}
 	host.Flag("zone", "Number of the zone.").IntVar(&h.zone)
 	host.Flag("first", "Index of the first node.").IntVar(&h.first)
 	host.Flag("count", "Nodes.").IntVar(&h.count)
 	host.Flag("platform", "Address of the platform.").StringVar(&h.platform)
-	host.Flag("backend", "Address of the backend server of the first node; empty if none is running.").StringVar(&h.backend)
+	host.Flag("backend", "Address of the backend server of the nodes; empty if none is running.").StringVar(&h.backend)
 	host.Flag("register", "Register a backend server with each node.").BoolVar(&h.register)
 	host.Flag("gap", "Pause between the starts of two nodes.").DurationVar(&h.startInterval)
+	host.Flag("observed", "Run the only node as a product process does, and serve its profiles.").BoolVar(&h.observed)
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if command == host.FullCommand() {
 		h.run()
 		return
 	}
-	measure(*part, *sizes, *rates, *among, min(*window, time.Minute))
+	loaded.window = min(*window, time.Minute)
+	if *part == "load" {
+		reportLoad(loaded)
+		return
+	}
+	measure(*part, *sizes, *rates, *among, loaded.window)
 }
 
 func measure(part string, sizes, rates []int, among int, window time.Duration) {
--- a/internal/measure/nodes/target.go
+++ b/internal/measure/nodes/target.go
@@ -22,6 +22,7 @@
 	portPeers      = 26001
 	portOperator   = 26002
 	portRegister   = 26003
+	portProfile    = 26004 // of the measuring program
 	hostsPerSubnet = 250
 )
 
