--- a/internal/measure/nodes/child.go
+++ b/internal/measure/nodes/child.go
@@ -42,6 +42,9 @@
 	if o.register {
 		args = append(args, "--register")
 	}
+	if o.linkMbps > 0 {
+		args = append(args, "--link", fmt.Sprint(o.linkMbps))
+	}
 	if o.observed {
 		args = append(args, "--observed")
 	}
--- a/internal/measure/nodes/host.go
+++ b/internal/measure/nodes/host.go
@@ -36,6 +36,7 @@
 	backend            string        // address of the backend server of the nodes; empty if none is running
 	register           bool          // register a backend server with each node
 	startInterval      time.Duration // between the starts of two nodes
+	linkMbps           float64       // of the instance; 0 if it is not known
 	observed           bool          // run the only node as a product process does, and serve its profiles
 	program            string        // path of the program to start; empty for this one
 }
@@ -94,6 +95,7 @@
 		Platform: settings.Platform{Address: h.platform},
 		Limits:   settings.Limits{Calls: 4096, BodyBytes: 128 << 20, QueuedBytes: 64 << 20, ResponseBytes: 64 << 20, Records: 100_000},
 		Shutdown: settings.Shutdown{Timeout: time.Second},
+		Instance: settings.Instance{LinkMbps: h.linkMbps},
 		Log:      settings.Log{Level: "info", Format: "logfmt"},
 	}
 }
--- a/internal/measure/nodes/load.go
+++ b/internal/measure/nodes/load.go
@@ -34,7 +34,9 @@
 	loadSettleTime = 12 * time.Second
 	// loadMemory is the memory of an instance in the deployment.
 	loadMemory = 184 << 20
-	loadSeed   = 4
+	// loadLinkMbps is the link of an instance. Bodies above 16 KiB are paced, but the load does not fill it.
+	loadLinkMbps = 100
+	loadSeed     = 4
 )
 
 // loadOptions selects how a node under load is measured.
@@ -64,10 +66,10 @@
 		if zone == 0 {
 			first = len(programs)
 		}
-		f.start(hostOptions{zone: zone, first: first, count: nodesInZone(o.size, zone) - first, register: true, backend: address, startInterval: startInterval})
+		f.start(hostOptions{zone: zone, first: first, count: nodesInZone(o.size, zone) - first, register: true, backend: address, startInterval: startInterval, linkMbps: loadLinkMbps})
 	}
 	for index, program := range programs {
-		observed = append(observed, f.start(hostOptions{zone: 0, first: index, count: 1, register: true, backend: address, observed: true, program: program}))
+		observed = append(observed, f.start(hostOptions{zone: 0, first: index, count: 1, register: true, backend: address, observed: true, program: program, linkMbps: loadLinkMbps}))
 	}
 	if formed, ok := f.awaitMembers([]nodeRef{{0, 0}, {0, len(programs)}, {3, 1}, {6, 1}}); !ok {
 		fmt.Printf("the fleet was not complete after %v\n", formed)
--- a/internal/measure/nodes/main.go
+++ b/internal/measure/nodes/main.go
@@ -32,6 +32,7 @@
 	host.Flag("backend", "Address of the backend server of the nodes; empty if none is running.").StringVar(&h.backend)
 	host.Flag("register", "Register a backend server with each node.").BoolVar(&h.register)
 	host.Flag("gap", "Pause between the starts of two nodes.").DurationVar(&h.startInterval)
+	host.Flag("link", "Link of the instance in Mbit/s; 0 if it is not known.").Float64Var(&h.linkMbps)
 	host.Flag("observed", "Run the only node as a product process does, and serve its profiles.").BoolVar(&h.observed)
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if command == host.FullCommand() {
