ingress: the body of a request is read into one buffer of its length

Cause: io.ReadAll grows its buffer in small steps, although the length is declared and the reducer has reserved it. Change: the first buffer has the declared length, at most 64 KiB; beyond that it doubles up to the length, so that a caller that declares much and sends nothing holds little.

--- a/runner/ingress/exchange.go
+++ b/runner/ingress/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -184,7 +183,7 @@
 
 func (e *exchange) readBody(effect reducer.ReadBody) reducer.BodyRead {
 	event := reducer.BodyRead{Call: effect.Call, Result: reducer.BodyComplete}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, effect.Limit))
+	body, err := readBody(http.MaxBytesReader(e.w, e.r.Body, effect.Limit), e.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
