node, target: lines below the level of the log are dropped before they are queued

Cause: at the default level info, the two lines of each served call were built, copied, queued, given a time by the goroutine of the log, which was woken for that, and then dropped. Change: the level is checked first. Such lines take no token of the limit on lines about calls and are not counted as dropped any more; no line that is written today is lost. A program that builds a node without a level gets all lines, as before.

--- a/node/node.go
+++ b/node/node.go
@@ -46,11 +46,12 @@
 // Node is a node of the mesh: its control thread and its runners.
 type Node struct {
 	settings       settings.Settings
-	logger         log.Logger // adds the node ID and the zone to each line
+	logger         log.Logger // drops lines below the level of the settings, adds the node ID and the zone to the others
 	asyncLogger    *telemetry.AsyncLogger
 	metrics        *telemetry.Metrics
 	tracer         *telemetry.Tracer
 	callLogLimiter *telemetry.LogLimiter
+	logsServed     bool // lines about calls that were served are written
 	state          *reducer.State
 	thread         *control.Thread
 	mailboxes      *traffic.Mailboxes
@@ -74,7 +75,9 @@
 		mailboxes: traffic.NewMailboxes(), responses: traffic.NewResponseStore(), workers: traffic.NewWorkers(), stopped: make(chan struct{}),
 	}
 	n.asyncLogger = telemetry.NewAsyncLogger(logger, n.metrics.LogDropped)
-	n.logger = log.With(n.asyncLogger, "node", s.Node.ID, "zone", s.Node.Zone)
+	allowed := level.ParseDefault(s.Log.Level, level.DebugValue()) // settings that a program builds may have no level
+	n.logsServed = allowed == level.DebugValue()
+	n.logger = log.With(level.NewFilter(n.asyncLogger, level.Allow(allowed)), "node", s.Node.ID, "zone", s.Node.Zone)
 	n.thread = control.New(n.metrics.EventReduced)
 	n.metrics.RegisterQueueLength("arrivals", n.thread.QueuedArrivals)
 	n.metrics.RegisterQueueLength("completions", n.thread.QueuedCompletions)
@@ -152,7 +155,7 @@
 	n.peerServer = peer.NewServer(self, n.listeners.Peers, &target.Handler{
 		Control: n.thread, Mailboxes: n.mailboxes, Responses: n.responses,
 		Starter: backend.Starter{Backend: n.backend, Tracer: n.tracer, Post: n.thread.Post, Workers: n.workers},
-		Tracer:  n.tracer, Logger: n.logger, LogLimiter: n.callLogLimiter,
+		Tracer:  n.tracer, Logger: n.logger, LogLimiter: n.callLogLimiter, LogServed: n.logsServed,
 	}, n.logger, n.metrics)
 	n.peerServer.SetPacer(pacer)
 	n.metrics.RegisterLink(pacer.PacedBytes, pacer.WaitTime)
--- a/node/perform.go
+++ b/node/perform.go
@@ -68,10 +68,14 @@
 	n.thread.Post(reducer.HandOverDone{To: e.To, Accepted: n.peerClient.HandOver(ctx, e, n.responses.Get)})
 }
 
-// recordFinishedCall counts a call that a caller sent to this node, and logs it as far as callLogLimiter allows.
+// recordFinishedCall counts a call that a caller sent to this node, and logs it as far as the level of the log and
+// callLogLimiter allow.
 func (n *Node) recordFinishedCall(e reducer.CallFinished) {
 	n.metrics.CallFinished(e)
 	served := e.Outcome == reducer.OutcomeDone
+	if served && !n.logsServed {
+		return
+	}
 	if !n.callLogLimiter.Allow(time.Now(), served) {
 		n.metrics.LogDropped()
 		return
--- a/runner/target/target.go
+++ b/runner/target/target.go
@@ -32,6 +32,7 @@
 	Tracer     *telemetry.Tracer
 	Logger     log.Logger
 	LogLimiter *telemetry.LogLimiter // limits the log lines about calls; nil suppresses them
+	LogServed  bool                  // write lines about calls that were served
 }
 
 // Post passes an event to the control thread. It returns false if the control thread has ended.
@@ -57,7 +58,7 @@
 // logAnswer logs the outcome of a forwarded call and the load of this node at the decision.
 func (h *Handler) logAnswer(call reducer.ForwardArrived, answer reducer.AnswerForward, took time.Duration) {
 	served := answer.Outcome == reducer.OutcomeDone
-	if !h.LogLimiter.Allow(time.Now(), served) {
+	if served && !h.LogServed || !h.LogLimiter.Allow(time.Now(), served) {
 		return
 	}
 	logger := level.Info(h.Logger)
