peer: a grant of tokens comes with the reply to its request

Cause: each call of a workspace with a quota costs about one request to an owner. The request and its grant were two RPCs, that is four frames, with a connection in each direction. Change: a node says in its request that it takes the grant in the reply (QuotaRequest.GrantInReply). Decisions and events are as before: the grant arrives as a PeerMessage of the owner.

--- a/node/perform.go
+++ b/node/perform.go
@@ -26,6 +26,9 @@
 	case reducer.Cancel:
 		n.peerClient.Cancel(e)
 	case reducer.Send:
+		if n.peerServer.DeliverGrant(e) {
+			return nil
+		}
 		return n.peerClient.Send(e)
 	case reducer.HandOver:
 		go n.handOver(e)
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -183,15 +183,21 @@
 // invoke makes one RPC. When the connection turns out to have ended before the request was sent, invoke tries once more
 // on a new connection.
 func (c *Client) invoke(ctx context.Context, key connKey, method string, args, reply any) error {
+	_, err := c.invokeFrom(ctx, key, method, args, reply)
+	return err
+}
+
+// invokeFrom makes an RPC like invoke, and returns the peer that replied unless there is an error.
+func (c *Client) invokeFrom(ctx context.Context, key connKey, method string, args, reply any) (reducer.PeerRef, error) {
 	for attempt := 0; ; attempt++ {
 		conn, err := c.acquire(ctx, key)
 		if err != nil {
-			return err
+			return reducer.PeerRef{}, err
 		}
 		err = c.invokeOn(ctx, conn, method, args, reply)
 		c.release(key, conn, err)
 		if err != rpc.ErrShutdown || attempt > 0 || mayHaveBeenSent(args) || c.ctx.Err() != nil {
-			return err
+			return conn.peer, err
 		}
 	}
 }
--- a/runner/peer/codec.go
+++ b/runner/peer/codec.go
@@ -68,7 +68,7 @@
 	if c.hooks.onResponse != nil {
 		defer c.hooks.onResponse(header.ServiceMethod)
 	}
-	return c.write(header, body, kindResponse)
+	return c.write(header, body, kindOfResponse(body))
 }
 
 // perishable is a request that loses its use while it waits to be written.
@@ -96,10 +96,10 @@
 }
 
 // ReadResponseBody implements rpc.ClientCodec.
-func (c *codec) ReadResponseBody(body any) error { return c.readBody(body, kindResponse) }
+func (c *codec) ReadResponseBody(body any) error { return c.readBody(body, kindOfResponse) }
 
 // ReadRequestBody implements rpc.ServerCodec.
-func (c *codec) ReadRequestBody(body any) error { return c.readBody(body, "") }
+func (c *codec) ReadRequestBody(body any) error { return c.readBody(body, kindOf) }
 
 // Close implements rpc.ClientCodec and rpc.ServerCodec.
 func (c *codec) Close() error { return c.conn.Close() }
@@ -171,8 +171,8 @@
 }
 
 // readBody decodes the body in the current frame. net/rpc passes a nil body to skip one; it is still decoded, because
-// gob sends type information inside messages. An empty kind stands for the kind of the body.
-func (c *codec) readBody(body any, kind string) error {
+// gob sends type information inside messages.
+func (c *codec) readBody(body any, kind func(body any) string) error {
 	err := c.dec.Decode(body)
 	if err == nil && c.frames.remaining != 0 {
 		err = errFrameBoundary
@@ -180,9 +180,6 @@
 	if err != nil {
 		return c.closeOnError(err)
 	}
-	if kind == "" {
-		kind = kindOf(body)
-	}
-	reportFrame(c.hooks.onReceived, kind, frameHeaderBytes+c.frames.size, c.frames.typeBytes)
+	reportFrame(c.hooks.onReceived, kind(body), frameHeaderBytes+c.frames.size, c.frames.typeBytes)
 	return nil
 }
--- a/runner/peer/kind.go
+++ b/runner/peer/kind.go
@@ -6,6 +6,8 @@
 	kindTypes    = "types" // gob's type descriptions, sent once per connection and direction
 	kindResponse = "response"
 	kindOther    = "other" // Settle, Cancel, Ping
+	// kindQuotaGrant is a grant in a message of its own or in a reply.
+	kindQuotaGrant = "quota_grant"
 )
 
 // kindOf returns the kind of a request with the given body.
@@ -30,7 +32,7 @@
 	case control.QuotaRequest != nil:
 		return "quota_request"
 	case control.QuotaGrant != nil:
-		return "quota_grant"
+		return kindQuotaGrant
 	case control.RolloutUpdates != nil:
 		return "rollout_updates"
 	case control.RolloutReport != nil:
@@ -42,6 +44,14 @@
 	}
 }
 
+// kindOfResponse returns the kind of a response with the given body.
+func kindOfResponse(body any) string {
+	if reply, ok := body.(*NotifyReply); ok && reply.QuotaGrant != nil {
+		return kindQuotaGrant
+	}
+	return kindResponse
+}
+
 // reportFrame counts the bytes of a frame, those of type descriptions separately as kindTypes.
 func reportFrame(count func(kind string, n int), kind string, size, types int) {
 	if count == nil {
--- a/runner/peer/sender.go
+++ b/runner/peer/sender.go
@@ -27,7 +27,7 @@
 	queue   chan outgoingMessage
 }
 
-// outgoingMessage is an RPC to a peer whose reply is empty.
+// outgoingMessage is an RPC to a peer whose reply is empty or a NotifyReply.
 type outgoingMessage struct {
 	to     reducer.PeerRef
 	method string
@@ -136,7 +136,11 @@
 	if control, ok := out.args.(*ControlArgs); ok && control.ConfigUpdate != nil {
 		out.args = &ControlArgs{ConfigUpdate: c.packer.pack(control.ConfigUpdate)}
 	}
-	err := c.invoke(ctx, connKey{out.to.Address, ClassControl}, out.method, out.args, &Empty{})
+	var reply NotifyReply
+	from, err := c.invokeFrom(ctx, connKey{out.to.Address, ClassControl}, out.method, out.args, &reply)
+	if err == nil && reply.QuotaGrant != nil {
+		c.post(reducer.PeerMessage{From: from, Message: reply.QuotaGrant.toMessage()})
+	}
 	if err != nil && c.ctx.Err() == nil {
 		c.post(reducer.PeerSendFailed{To: out.to, Refused: errors.Is(err, syscall.ECONNREFUSED)})
 	}
--- a/runner/peer/server.go
+++ b/runner/peer/server.go
@@ -67,6 +67,7 @@
 	calls      inflight      // calls of peers whose answer has not been written, and streams
 	streams    servedStreams
 	uploads    uploads
+	grants     pendingGrants
 	pacer      *link.Pacer
 
 	mu         sync.Mutex
@@ -197,7 +198,7 @@
 	disconnected := make(chan struct{})
 	service := &service{
 		peer: peer.peerRef(), version: s.self.negotiateVersion(peer), handler: s.handler, maxResponseBytes: class.maxResponseBytes(), disconnected: disconnected, streams: &s.streams,
-		uploads: &s.uploads, pacer: s.pacer,
+		uploads: &s.uploads, grants: &s.grants, pacer: s.pacer,
 	}
 	if err := server.RegisterName("Peer", service); err != nil {
 		panic(err) // cannot fail: the service has the methods that net/rpc expects
@@ -294,6 +295,7 @@
 	disconnected     <-chan struct{}
 	streams          *servedStreams
 	uploads          *uploads
+	grants           *pendingGrants
 	pacer            *link.Pacer
 }
 
@@ -334,15 +336,5 @@
 	return nil
 }
 
-// Notify receives a control message. A message that cannot be decoded is an error, which the peer handles as a message
-// that was not delivered. A message of an unknown type is ignored.
-func (s *service) Notify(args *ControlArgs, _ *Empty) error {
-	message, err := args.toMessage()
-	if message != nil && err == nil {
-		s.handler.Post(reducer.PeerMessage{From: s.peer, Message: message})
-	}
-	return err
-}
-
 // Ping replies, which shows that the connection works.
 func (s *service) Ping(*Empty, *Empty) error { return nil }
--- a/runner/peer/types.go
+++ b/runner/peer/types.go
@@ -14,7 +14,7 @@
 
 // controlTypeValues returns a value of each type that control messages and their responses consist of.
 func controlTypeValues() []any {
-	return []any{&rpc.Request{}, &rpc.Response{}, &ControlArgs{}, &Empty{}}
+	return []any{&rpc.Request{}, &rpc.Response{}, &ControlArgs{}, &Empty{}, &NotifyReply{}}
 }
 
 func encodeTypeStream() []byte {
--- a/runner/peer/wire_quota.go
+++ b/runner/peer/wire_quota.go
@@ -12,6 +12,8 @@
 	Seq      uint64
 	Asks     []QuotaAsk
 	Releases []QuotaRelease
+	// GrantInReply is set when the sender takes the grant in the reply.
+	GrantInReply bool
 }
 
 // QuotaAsk is quota.Ask on the wire.
@@ -66,7 +68,7 @@
 }
 
 func wireQuotaRequest(m reducer.QuotaRequest) *QuotaRequest {
-	out := &QuotaRequest{Seq: m.Seq}
+	out := &QuotaRequest{Seq: m.Seq, GrantInReply: len(m.Asks) > 0}
 	for _, a := range m.Asks {
 		out.Asks = append(out.Asks, QuotaAsk{
 			Workspace: a.Workspace, Needed: wireTokens(a.Needed), Ahead: wireTokens(a.Ahead), Held: wireTokens(a.Held),
