peer: a frame that the socket takes at once needs no deadline

Cause: the write deadline was moved on with each frame. The Go runtime wakes a thread when an earlier setting of a timer has come, for nothing. Change: the frame is first written without waiting; only the rest, if there is any, is written under the deadline of 2 s, which is then cleared.

--- a/runner/peer/codec.go
+++ b/runner/peer/codec.go
@@ -11,10 +11,6 @@
 	"time"
 )
 
-// writeTimeout bounds the write of one frame. net/rpc holds a lock while it writes, which delays the other messages on
-// the connection.
-const writeTimeout = 2 * time.Second
-
 // codec implements rpc.ClientCodec and rpc.ServerCodec. It encodes the header and the body of a message with gob into
 // one frame of bounded size.
 type codec struct {
@@ -115,10 +111,7 @@
 	}
 	frame := c.buf.Bytes()
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameHeaderBytes))
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	if _, err := c.conn.Write(frame); err != nil {
+	if err := writeFrame(c.conn, frame); err != nil {
 		if c.hooks.onWriteError != nil {
 			c.hooks.onWriteError()
 		}
--- a/runner/peer/conn.go
+++ b/runner/peer/conn.go
@@ -191,7 +191,7 @@
 	// Client.Close also ends a handshake that waits for the peer.
 	stop := context.AfterFunc(c.ctx, func() { socket.Close() })
 	defer stop()
-	observed := &observedConn{Conn: socket, class: key.class.String(), observer: c.observer}
+	observed := &observedConn{Conn: socket, raw: rawConnOf(socket), class: key.class.String(), observer: c.observer}
 	reply, r, err := c.handshake(observed, key.class)
 	if err != nil {
 		socket.Close()
--- a/runner/peer/observer.go
+++ b/runner/peer/observer.go
@@ -4,6 +4,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -31,6 +32,7 @@
 // observedConn reports the bytes read from and written to a connection.
 type observedConn struct {
 	net.Conn
+	raw      syscall.RawConn // of Conn; nil if it is not a socket
 	class    string
 	observer Observer
 	lastRead atomic.Int64 // ns since 1970 of the last bytes read; 0 before the first
--- a/runner/peer/server.go
+++ b/runner/peer/server.go
@@ -186,7 +186,7 @@
 	defer s.untrack(conn)
 	// Bytes are counted only after the handshake, because the hello names the class. All reads must go through the
 	// observed connection, or requests would not be counted.
-	observed := &observedConn{Conn: conn, observer: s.observer}
+	observed := &observedConn{Conn: conn, raw: rawConnOf(conn), observer: s.observer}
 	peer, r, err := s.handshake(observed)
 	<-s.handshakes
 	if err != nil {
