peer: one timer bounds all control messages

Cause: each control message had a timer of its own, which was stopped when the reply came; the runtime may still wake a thread at its time. Change: the messages have the same timeout, so that their deadlines are a queue with one timer, which is set only while a message waits for its reply and runs once a second at most in steady traffic. Client.Close ends the contexts as before.

--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -32,6 +32,7 @@
 	// senderIdleTimeout is the constant of the same name, unless a test shortens it.
 	senderIdleTimeout time.Duration
 	packer            packer
+	timeouts          timeouts // of control messages and cancellations
 	pacer             *link.Pacer
 
 	mu         sync.Mutex
@@ -51,7 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
 		self: self, post: post, observer: observer, ctx: ctx, cancel: cancel, senderIdleTimeout: senderIdleTimeout,
-		conns: map[connKey]*clientConn{}, senders: map[string]*sender{},
+		conns: map[connKey]*clientConn{}, senders: map[string]*sender{}, timeouts: timeouts{timeout: controlTimeout},
 	}
 	c.goroutines.Go(c.runIdleChecks)
 	return c
@@ -63,6 +64,7 @@
 // Close closes all connections and waits for the client's goroutines.
 func (c *Client) Close() {
 	c.cancel()
+	c.timeouts.close()
 	c.mu.Lock()
 	c.closed = true
 	conns := c.conns
--- a/runner/peer/sender.go
+++ b/runner/peer/sender.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"context"
 	"errors"
 	"syscall"
 	"time"
@@ -131,8 +130,8 @@
 
 // deliver makes the RPC for one message. When it fails, deliver posts a PeerSendFailed event and returns the error.
 func (c *Client) deliver(out outgoingMessage) error {
-	ctx, cancel := context.WithTimeout(c.ctx, controlTimeout)
-	defer cancel()
+	ctx := c.timeouts.begin()
+	defer ctx.end()
 	if control, ok := out.args.(*ControlArgs); ok && control.ConfigUpdate != nil {
 		out.args = &ControlArgs{ConfigUpdate: c.packer.pack(control.ConfigUpdate)}
 	}
