--- a/internal/measure/nodes/load.go
+++ b/internal/measure/nodes/load.go
@@ -43,12 +43,13 @@
 type loadOptions struct {
 	size     int           // nodes of the fleet
 	window   time.Duration // of each measurement
-	against  string        // path of another build of this program for the second observed node; empty for none
+	programs []string      // path of the build of this program for each observed node; empty for one node of this build
 	profiles string        // path prefix of the profiles to write; empty for none
 }
 
-// reportLoad measures one node, or two of different builds under the same load, in a fleet of nodes that are otherwise
-// idle. Each observed node runs in its own process.
+// reportLoad measures one node, or several of different builds under the same load, in a fleet of nodes that are otherwise
+// idle. Each observed node runs in its own process. Nodes differ in their links and in the number of quotas that they own:
+// builds are compared by runs with the programs in both orders.
 func reportLoad(o loadOptions) {
 	printHeading(fmt.Sprintf("load: one node among %d, %d calls/s each way", o.size, loadRate))
 	address, stop := startLoadBackend()
@@ -56,9 +57,9 @@
 	f := startPlatformWith(loadDocument)
 	defer f.stop()
 	f.size = o.size
-	programs := []string{""}
-	if o.against != "" {
-		programs = append(programs, o.against)
+	programs := o.programs
+	if len(programs) == 0 {
+		programs = []string{""}
 	}
 	var observed []*child
 	for zone := range zones {
--- a/internal/measure/nodes/main.go
+++ b/internal/measure/nodes/main.go
@@ -21,7 +21,7 @@
 	window := run.Flag("window", "Duration of a measurement at rest.").Default("5s").Duration()
 	loaded := loadOptions{}
 	run.Flag("members", "Number of nodes in the load part.").Default("90").IntVar(&loaded.size)
-	run.Flag("against", "In the load part, another build of this program for a second observed node.").StringVar(&loaded.against)
+	run.Flag("program", "In the load part, the build of this program for an observed node; repeatable.").StringsVar(&loaded.programs)
 	run.Flag("profiles", "In the load part, prefix of the paths of CPU profiles.").StringVar(&loaded.profiles)
 	host := app.Command("host", "Run nodes of one zone.").Hidden()
 	h := hostOptions{}
