--- a/internal/measure/nodes/load.go
+++ b/internal/measure/nodes/load.go
@@ -254,10 +254,11 @@
 		time.Sleep(time.Until(due))
 		request := newLoadRequest(random, i, owned, size, filler)
 		inFlight.Go(func() {
-			if !isAnswered(client, request) {
+			if err := sendRequest(client, request); err != nil {
 				mu.Lock()
 				failed++
 				mu.Unlock()
+				fmt.Println("failed after", time.Since(begin).Round(time.Millisecond), err)
 			}
 		})
 	}
@@ -290,13 +291,19 @@
 	return int(minLoadBody * math.Pow(maxLoadBody/minLoadBody, random.Float64()))
 }
 
-// isAnswered sends a request and reports whether it was answered with status 200 and the whole body.
-func isAnswered(client *http.Client, request *http.Request) bool {
+// sendRequest sends a request. It returns an error unless it is answered with status 200 and the whole body.
+func sendRequest(client *http.Client, request *http.Request) error {
 	response, err := client.Do(request)
 	if err != nil {
-		return false
+		return err
 	}
 	defer response.Body.Close()
-	n, err := io.Copy(io.Discard, response.Body)
-	return err == nil && response.StatusCode == http.StatusOK && strconv.FormatInt(n, 10) == request.Header.Get(sizeHeader)
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK || strconv.Itoa(len(body)) != request.Header.Get(sizeHeader) {
+		return fmt.Errorf("%s: status %d, %d bytes: %.200s", request.URL, response.StatusCode, len(body), body)
+	}
+	return nil
 }
