ingress: bodies are read by goroutines that are used again

Cause: copying stacks that grow took 3 of 100 in a profile of the load part; each body was read by a new goroutine. Change: traffic.Workers reads them, as it sends requests. Not measured apart.

--- a/runner/ingress/exchange.go
+++ b/runner/ingress/exchange.go
@@ -166,7 +166,7 @@
 func (e *exchange) startBodyRead(effect reducer.ReadBody) {
 	read := make(chan reducer.BodyRead, 1)
 	e.bodyRead = read
-	go func() { read <- e.readBody(effect) }()
+	e.server.Workers.Go(func() { read <- e.readBody(effect) })
 }
 
 // abortBodyRead stops reading a body that is no longer needed. The connection is closed after the response, because
