--- a/internal/measure/nodes/host.go
+++ b/internal/measure/nodes/host.go
@@ -48,7 +48,7 @@
 		_, _ = io.Copy(io.Discard, os.Stdin) // only the end of the input matters
 		cancel()
 	}()
-	if h.count == 1 {
+	if h.count == 1 && !h.observed {
 		node.TuneRuntime(settings.Runtime{Processors: 2})
 	}
 	var logger log.Logger = &activationLogger{}
