--- a/runner/peer/pacing.go
+++ b/runner/peer/pacing.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
@@ -50,6 +51,9 @@
 		return response.ReadWhole(ctx)
 	}
 	defer response.Discard()
+	if response.Length > int64(len(response.Body)) {
+		response.Body = slices.Grow(response.Body, int(min(response.Length, traffic.MaxWholeBodyBytes))-len(response.Body))
+	}
 	for {
 		part, err := response.Rest.Next(ctx)
 		if err == io.EOF {
