--- a/runner/ingress/exchange.go
+++ b/runner/ingress/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -167,7 +166,7 @@
 func (e *exchange) startBodyRead(effect reducer.ReadBody) {
 	read := make(chan reducer.BodyRead, 1)
 	e.bodyRead = read
-	go func() { read <- e.readBody(effect) }()
+	e.server.Workers.Go(func() { read <- e.readBody(effect) })
 }
 
 // abortBodyRead stops reading a body that is no longer needed. The connection is closed after the response, because
@@ -184,7 +183,7 @@
 
 func (e *exchange) readBody(effect reducer.ReadBody) reducer.BodyRead {
 	event := reducer.BodyRead{Call: effect.Call, Result: reducer.BodyComplete}
-	body, err := io.ReadAll(http.MaxBytesReader(e.w, e.r.Body, effect.Limit))
+	body, err := readBody(http.MaxBytesReader(e.w, e.r.Body, effect.Limit), e.r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -32,6 +32,7 @@
 	// senderIdleTimeout is the constant of the same name, unless a test shortens it.
 	senderIdleTimeout time.Duration
 	packer            packer
+	timeouts          timeouts // of control messages and cancellations
 	pacer             *link.Pacer
 
 	mu         sync.Mutex
@@ -51,7 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{
 		self: self, post: post, observer: observer, ctx: ctx, cancel: cancel, senderIdleTimeout: senderIdleTimeout,
-		conns: map[connKey]*clientConn{}, senders: map[string]*sender{},
+		conns: map[connKey]*clientConn{}, senders: map[string]*sender{}, timeouts: timeouts{timeout: controlTimeout},
 	}
 	c.goroutines.Go(c.runIdleChecks)
 	return c
@@ -63,6 +64,7 @@
 // Close closes all connections and waits for the client's goroutines.
 func (c *Client) Close() {
 	c.cancel()
+	c.timeouts.close()
 	c.mu.Lock()
 	c.closed = true
 	conns := c.conns
@@ -183,15 +185,21 @@
 // invoke makes one RPC. When the connection turns out to have ended before the request was sent, invoke tries once more
 // on a new connection.
 func (c *Client) invoke(ctx context.Context, key connKey, method string, args, reply any) error {
+	_, err := c.invokeFrom(ctx, key, method, args, reply)
+	return err
+}
+
+// invokeFrom makes an RPC like invoke, and returns the peer that replied unless there is an error.
+func (c *Client) invokeFrom(ctx context.Context, key connKey, method string, args, reply any) (reducer.PeerRef, error) {
 	for attempt := 0; ; attempt++ {
 		conn, err := c.acquire(ctx, key)
 		if err != nil {
-			return err
+			return reducer.PeerRef{}, err
 		}
 		err = c.invokeOn(ctx, conn, method, args, reply)
 		c.release(key, conn, err)
 		if err != rpc.ErrShutdown || attempt > 0 || mayHaveBeenSent(args) || c.ctx.Err() != nil {
-			return err
+			return conn.peer, err
 		}
 	}
 }
--- a/runner/peer/codec.go
+++ b/runner/peer/codec.go
@@ -11,10 +11,6 @@
 	"time"
 )
 
-// writeTimeout bounds the write of one frame. net/rpc holds a lock while it writes, which delays the other messages on
-// the connection.
-const writeTimeout = 2 * time.Second
-
 // codec implements rpc.ClientCodec and rpc.ServerCodec. It encodes the header and the body of a message with gob into
 // one frame of bounded size.
 type codec struct {
@@ -68,7 +64,7 @@
 	if c.hooks.onResponse != nil {
 		defer c.hooks.onResponse(header.ServiceMethod)
 	}
-	return c.write(header, body, kindResponse)
+	return c.write(header, body, kindOfResponse(body))
 }
 
 // perishable is a request that loses its use while it waits to be written.
@@ -96,10 +92,10 @@
 }
 
 // ReadResponseBody implements rpc.ClientCodec.
-func (c *codec) ReadResponseBody(body any) error { return c.readBody(body, kindResponse) }
+func (c *codec) ReadResponseBody(body any) error { return c.readBody(body, kindOfResponse) }
 
 // ReadRequestBody implements rpc.ServerCodec.
-func (c *codec) ReadRequestBody(body any) error { return c.readBody(body, "") }
+func (c *codec) ReadRequestBody(body any) error { return c.readBody(body, kindOf) }
 
 // Close implements rpc.ClientCodec and rpc.ServerCodec.
 func (c *codec) Close() error { return c.conn.Close() }
@@ -115,10 +111,7 @@
 	}
 	frame := c.buf.Bytes()
 	binary.BigEndian.PutUint32(frame, uint32(len(frame)-frameHeaderBytes))
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	if _, err := c.conn.Write(frame); err != nil {
+	if err := writeFrame(c.conn, frame); err != nil {
 		if c.hooks.onWriteError != nil {
 			c.hooks.onWriteError()
 		}
@@ -171,8 +164,8 @@
 }
 
 // readBody decodes the body in the current frame. net/rpc passes a nil body to skip one; it is still decoded, because
-// gob sends type information inside messages. An empty kind stands for the kind of the body.
-func (c *codec) readBody(body any, kind string) error {
+// gob sends type information inside messages.
+func (c *codec) readBody(body any, kind func(body any) string) error {
 	err := c.dec.Decode(body)
 	if err == nil && c.frames.remaining != 0 {
 		err = errFrameBoundary
@@ -180,9 +173,6 @@
 	if err != nil {
 		return c.closeOnError(err)
 	}
-	if kind == "" {
-		kind = kindOf(body)
-	}
-	reportFrame(c.hooks.onReceived, kind, frameHeaderBytes+c.frames.size, c.frames.typeBytes)
+	reportFrame(c.hooks.onReceived, kind(body), frameHeaderBytes+c.frames.size, c.frames.typeBytes)
 	return nil
 }
