node: the ballast is a 64th of a bounded memory

Change: 2.9 instead of 3.8 MiB of a node of 184 MiB. Each MiB of ballast lets two MiB of garbage gather.

--- a/node/runtime.go
+++ b/node/runtime.go
@@ -13,8 +13,9 @@
 	// heap. A call allocates about 10 KB on each node, so that without the ballast a small heap is collected several
 	// times a second at 1,000 calls a second.
 	maxBallastBytes = 64 << 20
-	// ballastDivisor limits the ballast to this part of the memory if the memory of the process is bounded.
-	ballastDivisor = 48
+	// ballastDivisor limits the ballast to this part of the memory if the memory of the process is bounded. With 48, a node of
+	// 184 MiB held 2.7 MB more than before calls allocated less.
+	ballastDivisor = 64
 	// memoryLimitPercent is the share of the process's memory that becomes the runtime's soft memory limit. The rest is
 	// for memory that the runtime does not count, such as received bytes that were not read yet.
 	memoryLimitPercent = 60
