--- a/node/runtime.go
+++ b/node/runtime.go
@@ -14,7 +14,7 @@
 	// times a second at 1,000 calls a second.
 	maxBallastBytes = 64 << 20
 	// ballastDivisor limits the ballast to this part of the memory if the memory of the process is bounded. With 48, a node of
-	// 184 MiB held 2.7 MB more than before calls allocated less.
+	// 184 MiB took 2.7 MB more than the build before it, where 2 MB are allowed.
 	ballastDivisor = 64
 	// memoryLimitPercent is the share of the process's memory that becomes the runtime's soft memory limit. The rest is
 	// for memory that the runtime does not count, such as received bytes that were not read yet.
