reducer/quota: three owners share a quota, so that the loss of one refuses few calls

Cause: a workspace had one owner. After its loss nobody granted tokens for 1.2 s (suspicion) and 3 s (hold of the next owner), and most calls of its workspaces were refused.

Change: with a slack of 12 or more a quota is divided into three parts with an owner each. Each part has a third of the rate and of the bucket, so that the bound is that of one bucket, and all rules about holds, shares and passed buckets apply to each part. A node asks one owner as long as it grants, and the next one when it is short, holds its grants, or has not answered within 50 ms. Messages are unchanged: a part has the name of the workspace with a mark. Requests for tokens ahead that got none are repeated with a doubling delay (625 ms to 5 s); an owner keeps four tokens for calls that wait; a small workspace exceeds its quota only beyond two standard deviations of its rate.

--- a/reducer/quota/node.go
+++ b/reducer/quota/node.go
@@ -13,6 +13,11 @@
 	requestInterval = 50 * time.Millisecond
 	// answerTimeout is how long a node waits for a grant before it counts the owner as silent.
 	answerTimeout = maxWait
+	// failoverTimeout takes the place of answerTimeout if a quota has several owners: half of the time that a call may wait is
+	// left to ask another one.
+	failoverTimeout = maxWait / 2
+	// silentRetry is how long a node does not use a silent owner while other parts of the quota have one that answers.
+	silentRetry = time.Second
 	// silentInterval is the interval of the requests to an owner that is silent or does not grant. Calls do not wait for it
 	// meanwhile.
 	silentInterval = 250 * time.Millisecond
@@ -25,9 +30,11 @@
 	aheadTime = time.Second
 	// renewalFraction is the last part of the validity of tokens in which they are returned for new ones.
 	renewalFraction = 0.25
-	// aheadRequests is the greatest number of requests for tokens ahead within their validity. An owner whose bucket is low
-	// grants none.
-	aheadRequests = 4
+	// minAheadDelay and maxAheadDelay bound the time from an answer with too few tokens ahead to the next request for them. An
+	// owner whose bucket is low grants none, and most buckets of small workspaces are always low: with a fixed delay of 625 ms
+	// most requests of a node asked in vain for tokens ahead.
+	minAheadDelay = validity / 4
+	maxAheadDelay = 2 * validity
 	// reportInterval is the interval of the reports of a workspace's refused calls.
 	reportInterval = 10 * time.Second
 	// retryAfterUnowned is the Retry-After of calls that are refused while no owner grants.
@@ -97,8 +104,9 @@
 	name   string
 	plan   plan
 	active bool
-	// owner is valid if hasOwner is set. Both are derived from the view.
-	owner     Peer
+	parts  []part
+	at     int // the part that is asked as long as it grants
+	// hasOwner is set if the parts have owners. It is derived from the view, as they are.
 	hasOwner  bool
 	allowance int          // requests per window without an owner
 	tokens    []heldTokens // by expiry
@@ -108,10 +116,11 @@
 
 	demand   float64 // requests per second, at demandAt
 	demandAt time.Duration
-	shortTo  time.Duration // the owner has no token for this node before
-	idleTo   time.Duration // the owner grants nothing, and is not asked before
-	grantsAt time.Duration // when the owner expects to grant
-	aheadTo  time.Duration // the owner has no tokens ahead of calls before
+	// aheadUntil is when the demand falls below minAheadDemand without another call.
+	aheadUntil time.Duration
+	// aheadTo is when the owners are asked again for tokens ahead only. aheadDelay doubles as long as they grant none.
+	aheadTo    time.Duration
+	aheadDelay time.Duration
 	// askedAhead is the number of tokens ahead that the latest request asked for.
 	askedAhead float64
 	asked      bool // the open request to the owner asks for this workspace
@@ -125,6 +134,7 @@
 
 type heldTokens struct {
 	from    Peer
+	part    int
 	tokens  float64
 	renewAt time.Duration
 	expires time.Duration
@@ -159,7 +169,7 @@
 	for _, w := range workspaces {
 		a := n.workspaces[w.Name]
 		if a == nil {
-			a = &account{name: w.Name, demandAt: now}
+			a = newAccount(w.Name, n.limits.parts(), now)
 		}
 		before := a.plan.quota
 		if a.plan = newPlan(w, n.limits); a.plan.quota < before {
@@ -200,11 +210,17 @@
 }
 
 func (n *Node) updateOwner(a *account) {
-	owner, ok := n.view.ownerOf(a.name)
-	if owner != a.owner || ok != a.hasOwner {
-		a.shortTo, a.idleTo, a.aheadTo = 0, 0, 0
+	owners, ok := n.view.ownersOf(a.name, len(a.parts))
+	for i := range a.parts {
+		if p := &a.parts[i]; p.owner != owners[i] || ok != a.hasOwner {
+			*p = part{name: p.name, owner: owners[i], link: n.owners[owners[i]]}
+		}
+	}
+	if !a.hasOwner && ok {
+		// The nodes begin with different parts, so that each gets a third of the demand.
+		a.at = int(hashName(a.name).score(n.view.Self.Node) % uint64(len(a.parts)))
 	}
-	a.owner, a.hasOwner = owner, ok
+	a.hasOwner = ok
 	a.allowance = n.view.allowanceOf(a.name, a.plan.allowance)
 }
 
@@ -228,34 +244,21 @@
 		n.ask(now, a)
 		return Decision{Call: call, Result: Admitted}
 	}
-	if a.shortTo > now+maxWait {
-		n.noteRefusal(now, a, a.shortTo-now, false)
-		return Decision{Call: call, Result: Refused, RetryAfter: a.shortTo - now}
-	}
-	if n.isUnserved(now, a) {
-		d := n.useAllowance(now, a, waiting{call, now})
+	w := waiting{call, now}
+	if d, ok := n.decideWithoutOwner(now, a, w); ok {
 		n.ask(now, a)
 		return d
 	}
-	a.waits = append(a.waits, waiting{call, now})
+	a.waits = append(a.waits, w)
 	n.ask(now, a)
 	return Decision{Call: call, Result: Waiting}
 }
 
-// isUnserved reports whether no owner is expected to grant: waiting does not help.
-func (n *Node) isUnserved(now time.Duration, a *account) bool {
-	if !a.hasOwner || now < a.idleTo {
-		return true
-	}
-	link := n.owners[a.owner]
-	return link != nil && link.silent
-}
-
 // useAllowance admits a call without an owner's token, or refuses it.
 func (n *Node) useAllowance(now time.Duration, a *account, w waiting) Decision {
 	d := Decision{Call: w.call, Result: Refused, RetryAfter: retryAfterUnowned, Wait: now - w.since}
-	if a.grantsAt > now {
-		d.RetryAfter = a.grantsAt - now
+	if at := a.grantsAt(now); at > now {
+		d.RetryAfter = at - now
 	}
 	window := n.limits.Window + arrivalMargin
 	a.used = slices.DeleteFunc(a.used, func(at time.Duration) bool { return now-at > window })
@@ -308,8 +311,9 @@
 	link.silent, link.answered = false, true
 	n.close(link)
 	for _, t := range grant.Tokens {
-		if a := n.workspaces[t.Workspace]; a != nil {
-			n.takeGrant(now, a, link, grant.Version, t)
+		workspace, part := splitPart(t.Workspace)
+		if a := n.workspaces[workspace]; a != nil && part >= 0 && part < len(a.parts) {
+			n.takeGrant(now, a, part, link, grant.Version, t)
 			n.serve(now, a)
 		}
 	}
@@ -318,44 +322,33 @@
 	}
 }
 
-// takeGrant takes the tokens of one workspace. Those of an owner that does not know yet that the quota was lowered are
-// dropped.
-func (n *Node) takeGrant(now time.Duration, a *account, link *ownerLink, version uint64, t Tokens) {
+// takeGrant takes the tokens of one part. Those of an owner that does not know yet that the quota was lowered are dropped.
+func (n *Node) takeGrant(now time.Duration, a *account, index int, link *ownerLink, version uint64, t Tokens) {
 	if version >= n.version || t.Quota <= a.plan.quota {
-		a.add(now, link.peer, link.sentAt, t)
+		a.add(now, link, index, t)
 	}
-	a.shortTo, a.idleTo, a.aheadTo = 0, 0, 0
+	p := &a.parts[index]
+	p.shortTo, p.idleTo = 0, 0
 	switch {
 	case t.NotGranting:
-		a.grantsAt = now + min(t.RetryAfter, maxRetryAfter)
-		a.idleTo = now + max(min(t.RetryAfter, silentInterval), requestInterval)
+		p.grantsAt = now + min(t.RetryAfter, maxRetryAfter)
+		p.idleTo = now + max(min(t.RetryAfter, silentInterval), requestInterval)
 	case t.RetryAfter > 0:
-		a.shortTo = now + min(t.RetryAfter, maxRetryAfter)
-	}
-	if t.Ahead < a.askedAhead {
-		a.aheadTo = now + validity/aheadRequests
+		p.shortTo = now + min(t.RetryAfter, maxRetryAfter)
 	}
+	a.noteAhead(now, t.Ahead)
 }
 
 // serve decides about the calls that wait for a workspace, as far as it is known.
 func (n *Node) serve(now time.Duration, a *account) {
 	left := a.waits[:0]
 	for _, w := range a.waits {
-		switch {
-		case a.take():
+		if a.take() {
 			n.admit(now, w)
-		case now < a.shortTo && a.shortTo >= w.since+maxWait:
-			n.refuse(now, a, w, a.shortTo-now)
-		case n.isUnserved(now, a):
-			n.decisions = append(n.decisions, n.useAllowance(now, a, w))
-			n.Stats.Waited++
-		case now >= w.since+maxWait && a.asked:
-			// The owner has not answered in time.
-			n.decisions = append(n.decisions, n.useAllowance(now, a, w))
+		} else if d, ok := n.decideWaiting(now, a, w); ok {
+			n.decisions = append(n.decisions, d)
 			n.Stats.Waited++
-		case now >= w.since+maxWait:
-			n.refuse(now, a, w, max(a.shortTo-now, requestInterval))
-		default:
+		} else {
 			left = append(left, w)
 		}
 	}
@@ -371,13 +364,6 @@
 	n.Stats.Admitted++
 }
 
-// refuse ends a call that has waited: the owner has no token for it.
-func (n *Node) refuse(now time.Duration, a *account, w waiting, retryAfter time.Duration) {
-	n.decisions = append(n.decisions, Decision{Call: w.call, Result: Refused, RetryAfter: retryAfter, Wait: now - w.since})
-	n.Stats.Waited++
-	n.noteRefusal(now, a, retryAfter, false)
-}
-
 // Take returns the decisions and the requests since the last call.
 func (n *Node) Take() ([]Decision, []Outgoing) {
 	decisions, outgoing := n.decisions, n.outgoing
@@ -387,16 +373,16 @@
 
 // target is the number of tokens that a node holds ahead.
 func (a *account) target(now time.Duration) float64 {
-	demand := a.demandNow(now)
-	if demand < minAheadDemand {
+	if now >= a.aheadUntil {
 		return 0
 	}
-	return math.Ceil(demand * aheadTime.Seconds())
+	return math.Ceil(a.demandNow(now) * aheadTime.Seconds())
 }
 
 func (a *account) noteCall(now time.Duration) {
 	a.demand = a.demandNow(now) + 1/demandPeriod.Seconds()
 	a.demandAt = now
+	a.aheadUntil = now + time.Duration(math.Log(a.demand/minAheadDemand)*float64(demandPeriod))
 }
 
 func (a *account) demandNow(now time.Duration) float64 {
@@ -424,16 +410,16 @@
 }
 
 // add takes granted tokens. Those for calls that wait are lost unless serve uses them at once.
-func (a *account) add(now time.Duration, from Peer, sentAt time.Duration, t Tokens) {
+func (a *account) add(now time.Duration, link *ownerLink, part int, t Tokens) {
 	a.immediate = 0
-	if sentAt+immediateValidity > now {
+	if link.sentAt+immediateValidity > now {
 		a.immediate = whole(t.Now)
 	}
-	expires := sentAt + min(t.ValidFor, validity)
+	expires := link.sentAt + min(t.ValidFor, validity)
 	if t.Ahead < 1 || expires <= now {
 		return
 	}
 	renewAt := expires - time.Duration(float64(t.ValidFor)*renewalFraction)
-	a.tokens = append(a.tokens, heldTokens{from, whole(t.Ahead), renewAt, expires})
+	a.tokens = append(a.tokens, heldTokens{link.peer, part, whole(t.Ahead), renewAt, expires})
 	slices.SortStableFunc(a.tokens, func(x, y heldTokens) int { return int(x.expires - y.expires) })
 }
--- a/reducer/quota/node_ask.go
+++ b/reducer/quota/node_ask.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -11,8 +12,11 @@
 	if !a.wantsNow {
 		return
 	}
-	if a.hasOwner && n.requestTime(a, now) <= now {
-		n.send(now, a.owner)
+	if !a.hasOwner {
+		return
+	}
+	if index, at := n.requestTime(a, now); at <= now {
+		n.send(now, a.parts[index].owner)
 	}
 }
 
@@ -25,11 +29,28 @@
 	if len(a.waits) > 0 {
 		return true
 	}
-	if now < a.aheadTo {
+	if now < a.aheadTo || now >= a.aheadUntil {
 		return false
 	}
-	target := a.target(now)
-	return target > 0 && a.fresh(now) < (target+1)/2
+	fresh := a.fresh(now)
+	// The demand falls until the next call, so that the exponential function is needed only below half of the greatest target.
+	return fresh < (math.Ceil(a.demand*aheadTime.Seconds())+1)/2 && fresh < (a.target(now)+1)/2
+}
+
+// noteAhead notes how many tokens ahead an owner has granted. After fewer than the node asked for it asks another owner later, as
+// long as no call waits.
+func (a *account) noteAhead(now time.Duration, granted float64) {
+	if granted >= a.askedAhead {
+		a.aheadTo, a.aheadDelay = 0, 0
+		return
+	}
+	if granted > 0 || a.aheadDelay == 0 {
+		a.aheadDelay = minAheadDelay
+	} else {
+		a.aheadDelay = min(2*a.aheadDelay, maxAheadDelay)
+	}
+	a.aheadTo = now + a.aheadDelay
+	a.at = (a.at + 1) % len(a.parts)
 }
 
 // fresh returns the tokens that need no renewal yet.
@@ -43,38 +64,40 @@
 	return sum
 }
 
-// requestTime returns when the next request to the owner of a workspace may be sent.
-func (n *Node) requestTime(a *account, now time.Duration) time.Duration {
-	at := max(a.idleTo, a.shortTo)
-	link := n.owners[a.owner]
+// requestTime returns the part to ask next, and when the next request to its owner may be sent.
+func (n *Node) requestTime(a *account, now time.Duration) (int, time.Duration) {
+	index, _ := a.choose(now)
+	p := &a.parts[index]
+	at := max(p.idleTo, p.shortTo)
+	link := p.link
 	switch {
 	case link == nil:
-		return max(at, now)
+		return index, max(at, now)
 	case link.open && !link.silent:
-		return max(at, link.sentAt+answerTimeout)
+		return index, max(at, link.sentAt+n.answerTimeout())
 	case link.silent:
-		return max(at, link.sentAt+silentInterval)
+		return index, max(at, link.sentAt+silentInterval)
 	default:
-		return max(at, link.sentAt+requestInterval)
+		return index, max(at, link.sentAt+requestInterval)
 	}
 }
 
 // send sends one request for all workspaces of an owner that need one.
 func (n *Node) send(now time.Duration, owner Peer) {
-	link := n.owners[owner]
-	if link == nil {
-		link = &ownerLink{peer: owner}
-		n.owners[owner] = link
-	}
+	link := n.linkTo(owner)
 	n.close(link)
 	n.seq++
 	request := Request{Seq: n.seq}
 	for _, a := range n.active {
-		if !a.hasOwner || a.owner != owner || now < a.idleTo || now < a.shortTo || !n.wants(now, a) {
+		if !a.hasOwner || !n.wants(now, a) {
+			continue
+		}
+		index, _ := a.choose(now)
+		if p := &a.parts[index]; p.owner != owner || now < p.idleTo || now < p.shortTo {
 			continue
 		}
-		request.Asks = append(request.Asks, a.newAsk(now, owner))
-		a.asked, a.wantsNow = true, false
+		request.Asks = append(request.Asks, a.newAsk(now, index))
+		a.at, a.asked, a.wantsNow = index, true, false
 		link.asks = append(link.asks, a)
 	}
 	link.seq, link.sentAt, link.open, link.answered = n.seq, now, true, false
@@ -83,13 +106,14 @@
 	n.outgoing = append(n.outgoing, Outgoing{To: owner, Request: request})
 }
 
-// newAsk asks for the tokens of one workspace, reports those that are held, and gives back those that expire soon.
-func (a *account) newAsk(now time.Duration, owner Peer) Ask {
-	ask := Ask{Workspace: a.name, Needed: float64(len(a.waits)), Demand: a.demandNow(now)}
+// newAsk asks for the tokens of one part, reports those that are held, and gives back those that expire soon.
+func (a *account) newAsk(now time.Duration, index int) Ask {
+	p := &a.parts[index]
+	ask := Ask{Workspace: p.name, Needed: float64(len(a.waits)), Demand: a.demandNow(now)}
 	a.expire(now)
 	a.tokens = slices.DeleteFunc(a.tokens, func(t heldTokens) bool {
 		switch {
-		case t.from != owner:
+		case t.from != p.owner || t.part != index:
 			return false
 		case t.renewAt <= now:
 			ask.Returned += t.tokens
@@ -117,7 +141,7 @@
 // Advance decides about calls whose wait has ended, notices owners that are silent, and sends the requests that are due.
 func (n *Node) Advance(now time.Duration) {
 	for _, link := range slices.Clone(n.open) {
-		if now >= link.sentAt+answerTimeout {
+		if now >= link.sentAt+n.answerTimeout() {
 			link.silent = true
 			n.Stats.Silent++
 			n.close(link)
@@ -143,17 +167,16 @@
 		if len(a.waits) > 0 {
 			note(a.waits[0].since + maxWait)
 		}
-		if a.wantsNow && !a.asked {
-			if a.hasOwner {
-				note(n.requestTime(a, now))
-			}
+		if a.wantsNow && !a.asked && a.hasOwner {
+			_, at := n.requestTime(a, now)
+			note(at)
 		}
 		if i := slices.IndexFunc(a.tokens, func(t heldTokens) bool { return t.renewAt > now }); i >= 0 && !a.asked {
 			note(max(a.tokens[i].renewAt, a.aheadTo))
 		}
 	}
 	for _, link := range n.open {
-		note(link.sentAt + answerTimeout)
+		note(link.sentAt + n.answerTimeout())
 	}
 	return next, ok
 }
--- a/reducer/quota/owner.go
+++ b/reducer/quota/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -17,14 +18,20 @@
 	stampInterval = 50 * time.Millisecond
 	// demandRetention is how long the demand of a node counts after its last request. It is longer than validity.
 	demandRetention = 3 * time.Second
-	// overloadRetryAfter is the shortest time after which a node asks again for a workspace that exceeds its quota. With 90
-	// nodes it means 225 requests a second to the owner of one.
+	// overloadRetryAfter is the shortest time after which a node asks again for a workspace that exceeds its quota: each of
+	// its owners after this time for each part. With 90 nodes it means 225 requests a second to the owners of one.
 	overloadRetryAfter = 400 * time.Millisecond
+	// overloadDeviations is how far the demand exceeds the rate when the workspace exceeds its quota: in standard deviations
+	// of the number of calls in a second. Less is chance, as the part of a small workspace has a few calls a second.
+	overloadDeviations = 2
 	maxRetryAfter      = 5 * time.Second
 	// notGrantingRetryAfter is the Retry-After of a node that does not own the quota.
 	notGrantingRetryAfter = 250 * time.Millisecond
 	// aheadReserve is the part of the bucket that is kept for calls that wait, and not granted ahead.
 	aheadReserve = 0.25
+	// minAheadReserve is the least number of tokens that is kept in a bucket of several: with 1.5 of the 6 tokens of a small workspace's part, the other
+	// parts refused calls after the loss of an owner while nodes held tokens that they did not use.
+	minAheadReserve = 4
 	// releaseRetention is how long a passed bucket waits until this node knows that it is the owner.
 	releaseRetention = time.Second
 	// resumeMargin is how long after a pause of the process messages may arrive that waited during it.
@@ -43,7 +50,7 @@
 	limits     Limits
 	view       View
 	workspaces map[string]tables.Workspace
-	buckets    map[string]*bucket
+	buckets    map[string]*bucket // by the name of the part
 	share      float64
 	nextShare  float64 // larger one that takes effect at shareAt
 	shareAt    time.Duration
@@ -60,7 +67,7 @@
 	at time.Duration
 }
 
-// bucket is the token bucket of an owned workspace.
+// bucket is the token bucket of an owned part of a workspace's quota.
 type bucket struct {
 	plan     plan
 	level    float64
@@ -98,10 +105,12 @@
 	o.workspaces = map[string]tables.Workspace{}
 	for _, w := range workspaces {
 		o.workspaces[w.Name] = w
-		if b := o.buckets[w.Name]; b != nil {
-			o.fill(now, b)
-			b.plan = newPlan(w, o.limits)
-			o.fill(now, b)
+		for part := range o.limits.parts() {
+			if b := o.buckets[partName(w.Name, part)]; b != nil {
+				o.fill(now, b)
+				b.plan = newPlan(w, o.limits).ofPart()
+				o.fill(now, b)
+			}
 		}
 	}
 	o.updateBuckets(now)
@@ -133,38 +142,59 @@
 	}
 }
 
-// updateBuckets adds an empty bucket for each workspace that this node owns now, and removes the others.
+// updateBuckets adds an empty bucket for each part that this node owns now, and removes the others.
 func (o *Owner) updateBuckets(now time.Duration) []string {
+	owned := o.ownedParts()
 	for _, name := range slices.Sorted(maps.Keys(o.buckets)) {
-		if _, ok := o.workspaces[name]; !ok || !o.owns(name) {
+		if _, ok := owned[name]; !ok {
 			o.release(now, name)
 			delete(o.buckets, name)
 		}
 	}
 	var gained []string
-	for name, w := range o.workspaces {
-		if o.buckets[name] == nil && o.owns(name) {
-			b := &bucket{plan: newPlan(w, o.limits), filledAt: now, holders: map[Peer]*holder{}}
-			if len(o.view.Known) > 1 {
-				b.heldTo = o.view.ChangedAt + takeOverDelay
-			}
-			o.buckets[name] = b
+	for name, w := range owned {
+		if o.buckets[name] == nil {
+			o.addBucket(now, name, w)
 			gained = append(gained, name)
-			if r, ok := o.received[name]; ok && now-r.at < releaseRetention {
-				o.takeOver(now, b, r.Release)
-			}
-			delete(o.received, name)
 		}
 	}
 	slices.Sort(gained)
 	return gained
 }
 
+// ownedParts returns the parts that this node owns by its view, with their workspaces.
+func (o *Owner) ownedParts() map[string]tables.Workspace {
+	owned := map[string]tables.Workspace{}
+	parts := o.limits.parts()
+	for name, w := range o.workspaces {
+		owners, ok := o.view.ownersOf(name, parts)
+		for part := 0; ok && part < parts; part++ {
+			if owners[part] == o.view.Self {
+				owned[partName(name, part)] = w
+			}
+		}
+	}
+	return owned
+}
+
+func (o *Owner) addBucket(now time.Duration, name string, w tables.Workspace) {
+	b := &bucket{plan: newPlan(w, o.limits).ofPart(), filledAt: now, holders: map[Peer]*holder{}}
+	if len(o.view.Known) > 1 {
+		b.heldTo = o.view.ChangedAt + takeOverDelay
+	}
+	o.buckets[name] = b
+	if r, ok := o.received[name]; ok && now-r.at < releaseRetention {
+		o.takeOver(now, b, r.Release)
+	}
+	delete(o.received, name)
+}
+
 // release passes a bucket on to the new owner of its workspace.
 func (o *Owner) release(now time.Duration, name string) {
 	b := o.buckets[name]
 	owner, ok := o.view.ownerOf(name)
-	if _, exists := o.workspaces[name]; !exists || !ok || now < b.heldTo {
+	workspace, _ := splitPart(name)
+	if _, exists := o.workspaces[workspace]; !exists || !ok || now < b.heldTo {
 		return
 	}
 	o.fill(now, b)
@@ -205,7 +235,11 @@
 }
 
 // mayOwn reports whether a workspace is in the tables, or may be in those that a node that has just started does not have yet.
-func (o *Owner) mayOwn(workspace string) bool {
+func (o *Owner) mayOwn(name string) bool {
+	workspace, part := splitPart(name)
+	if part < 0 || part >= o.limits.parts() {
+		return false
+	}
 	_, known := o.workspaces[workspace]
 	return known || len(o.workspaces) == 0 && len(o.received) < maxHolders
 }
@@ -237,11 +271,6 @@
 	o.fill(now, b)
 }
 
-func (o *Owner) owns(workspace string) bool {
-	owner, ok := o.view.ownerOf(workspace)
-	return ok && owner == o.view.Self
-}
-
 func (o *Owner) fillAll(now time.Duration) {
 	for _, b := range o.buckets {
 		o.fill(now, b)
@@ -298,7 +327,7 @@
 	b.level -= out.Now
 	b.grantNow(now, out.Now)
 	if h != nil && out.Now == needed {
-		out.Ahead = min(whole(ask.Ahead), whole(b.level-b.plan.capacity*o.share*aheadReserve))
+		out.Ahead = min(whole(ask.Ahead), whole(b.level-o.reserve(b)))
 		b.grantAhead(now, h, out.Ahead)
 	}
 	if out.Now < needed {
@@ -309,6 +338,15 @@
 	return out
 }
 
+// reserve returns the tokens that are kept for calls that wait.
+func (o *Owner) reserve(b *bucket) float64 {
+	reserve := b.plan.capacity * o.share * aheadReserve
+	if b.plan.parts > 1 {
+		reserve = max(reserve, minAheadReserve)
+	}
+	return reserve
+}
+
 // holderOf returns the entry of a node, or nil if there are too many.
 func (b *bucket) holderOf(now time.Duration, from Peer) *holder {
 	h := b.holders[from]
@@ -395,11 +433,11 @@
 		return maxRetryAfter
 	}
 	wait := time.Duration(max(1-b.level, 0) / rate * float64(time.Second))
-	if float64(b.demand)/1000 > rate {
-		wait = max(wait, overloadRetryAfter)
+	if float64(b.demand)/1000 > rate+overloadDeviations*math.Sqrt(rate) {
+		wait = max(wait, overloadRetryAfter*time.Duration(b.plan.parts))
 	}
 	return min(max(wait, time.Millisecond), maxRetryAfter)
 }
 
-// Owned returns the number of workspaces that this node owns.
+// Owned returns the number of parts of quotas that this node owns.
 func (o *Owner) Owned() int { return len(o.buckets) }
--- a/reducer/quota/plan.go
+++ b/reducer/quota/plan.go
@@ -1,10 +1,12 @@
-// Package quota limits the requests of each workspace at all nodes together. Each workspace has an owner among the nodes,
-// which keeps its token bucket and grants tokens ahead of their use. Node is the side of the node at which calls enter,
+// Package quota limits the requests of each workspace at all nodes together. A quota is divided into parts. Each part has an
+// owner among the nodes, which keeps its token bucket and grants tokens ahead of their use. Node is the side of the node at which calls enter,
 // Owner the side that grants. Both are pure: times come in, decisions and messages come out.
 package quota
 
 import (
 	"math"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
@@ -29,6 +31,45 @@
 	minFillTime = 400 * time.Millisecond
 )
 
+const (
+	// maxParts is the number of owners of a quota. While one is lost the other two grant two thirds of the rate, which is
+	// more than the usual demand of 1/1.6.
+	maxParts = 3
+	// minPartsSlack is the least slack with which quotas are divided: the bucket of each part then has two tokens or more.
+	minPartsSlack = 12
+	// partMark separates the name of a workspace and the index of a part. Names of workspaces do not contain it.
+	partMark = '\x00'
+)
+
+// parts returns the number of parts of each quota. It depends on the settings only, so that all nodes agree on it.
+func (l Limits) parts() int {
+	if l.Slack >= minPartsSlack {
+		return maxParts
+	}
+	return 1
+}
+
+// partName returns the name by which messages and buckets refer to a part of a quota. The first part has the name of the
+// workspace.
+func partName(workspace string, part int) string {
+	if part == 0 {
+		return workspace
+	}
+	return workspace + string(partMark) + string(rune('0'+part))
+}
+
+// splitPart returns the workspace and the index of a part. The index is negative if the name is invalid.
+func splitPart(name string) (workspace string, part int) {
+	i := strings.IndexByte(name, partMark)
+	switch {
+	case i < 0:
+		return name, 0
+	case i != len(name)-2 || name[i+1] < '1' || name[i+1] >= '0'+maxParts:
+		return name[:i], -1
+	}
+	return name[:i], int(name[i+1] - '0')
+}
+
 // Limits says how exactly quotas are kept: in any Window at most (rate x Window + burst) x (1 + Overage) + Slack requests.
 type Limits struct {
 	Window  time.Duration
@@ -42,6 +83,7 @@
 	capacity  float64 // tokens that the owner's bucket and the nodes may hold together
 	allowance int     // requests per window of all nodes together without an owner
 	quota     float64 // requests per window, without overage
+	parts     int
 }
 
 // newPlan divides a quota so that in any window the requests that use an owner's tokens, which are at most capacity +
@@ -55,9 +97,16 @@
 	return plan{
 		rate: max(rate, 0), capacity: capacity,
 		allowance: int(extra * (1 - ownerExtra)), quota: w.Rate*l.Window.Seconds() + w.Burst,
+		parts: l.parts(),
 	}
 }
 
+// ofPart returns the plan of the bucket of one part. Rates and capacities of the parts add up to those of the quota.
+func (p plan) ofPart() plan {
+	p.rate, p.capacity = p.rate/float64(p.parts), p.capacity/float64(p.parts)
+	return p
+}
+
 // Peer is one incarnation of a node.
 type Peer struct {
 	Node        string
@@ -76,16 +125,32 @@
 	Alone bool
 }
 
-// ownerOf returns the owner of a workspace's quota: the first live member by rendezvous hashing.
-func (v *View) ownerOf(workspace string) (Peer, bool) {
-	var owner Peer
-	var best uint64
-	for _, peer := range v.Live {
-		if score := score(workspace, peer.Node); owner.Node == "" || score > best {
-			owner, best = peer, score
+// ownerOf returns the owner of a part of a quota.
+func (v *View) ownerOf(name string) (Peer, bool) {
+	workspace, part := splitPart(name)
+	if part < 0 {
+		return Peer{}, false
+	}
+	owners, ok := v.ownersOf(workspace, part+1)
+	return owners[part], ok
+}
+
+// ownersOf returns the owners of the first parts of a workspace's quota. The owner of a part is the first live member by
+// rendezvous hashing that owns no earlier part; with fewer members than parts it may own several.
+func (v *View) ownersOf(workspace string, parts int) (owners [maxParts]Peer, ok bool) {
+	for part := range parts {
+		prefix := hashName(partName(workspace, part))
+		var best uint64
+		for _, peer := range v.Live {
+			if part < len(v.Live) && slices.Contains(owners[:part], peer) {
+				continue
+			}
+			if score := prefix.score(peer.Node); owners[part].Node == "" || score > best {
+				owners[part], best = peer, score
+			}
 		}
 	}
-	return owner, owner.Node != "" && !v.Alone
+	return owners, len(v.Live) > 0 && !v.Alone
 }
 
 // allowanceOf returns how many requests of a workspace the node may admit in a window without an owner. If there are fewer
@@ -98,9 +163,10 @@
 	if all >= known {
 		return all / known
 	}
-	rank, own := 0, score(workspace, v.Self.Node)
+	prefix := hashName(workspace)
+	rank, own := 0, prefix.score(v.Self.Node)
 	for _, node := range v.Known {
-		if node != v.Self.Node && score(workspace, node) > own {
+		if node != v.Self.Node && prefix.score(node) > own {
 			rank++
 		}
 	}
@@ -118,17 +184,27 @@
 	return min(float64(v.Alive)/float64(len(v.Known)), 1)
 }
 
-// score is the rendezvous hash of a workspace and a node: FNV-1a with a final mix, as names differ in their last bytes.
-func score(workspace, node string) uint64 {
-	h := uint64(14695981039346656037)
-	for _, s := range [...]string{workspace, "\x00", node} {
-		for i := 0; i < len(s); i++ {
-			h = (h ^ uint64(s[i])) * 1099511628211
-		}
+// nameHash is the state of a rendezvous hash after the name of a quota.
+type nameHash uint64
+
+func hashName(name string) nameHash {
+	return nameHash(14695981039346656037).add(name).add("\x00")
+}
+
+// add continues the hash, which is FNV-1a.
+func (h nameHash) add(s string) nameHash {
+	for i := 0; i < len(s); i++ {
+		h = (h ^ nameHash(s[i])) * 1099511628211
 	}
-	h = (h ^ h>>33) * 0xff51afd7ed558ccd
-	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
+	return h
+}
+
+// score is the rendezvous hash of a quota and a node. A final mix follows, because names differ in their last bytes.
+func (h nameHash) score(node string) uint64 {
+	x := uint64(h.add(node))
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
 // whole returns the whole tokens in x, with a margin for rounding.
