reducer: nodes whose process has ended no longer lower the granted part of a rate

Cause: a dead member is known for 10 minutes, and owners grant the part of the rate that the heard members have among the known ones, as if the dead ones granted the rest beyond a partition.

Change: a member whose address refuses connections has ended, and does not count for the share.

--- a/reducer/members_detector.go
+++ b/reducer/members_detector.go
@@ -105,6 +105,7 @@
 		}
 	}
 	s.probeDead(heartbeat)
+	s.probeDeadForQuotas(heartbeat)
 	s.probeUnknownSeed()
 	s.startJoining()
 }
@@ -339,6 +340,7 @@
 	}
 	if in.Refused {
 		s.noteRefused(in.To)
+		s.noteQuotaMemberRefused(member)
 		s.noteZoneHeard(member.Zone, s.now)
 		s.suspect(in.To.Node)
 	}
--- a/reducer/quota.go
+++ b/reducer/quota.go
@@ -28,6 +28,7 @@
 	viewAt    time.Duration // of the last update of the view
 	changedAt time.Duration // when a member joined, left, was lost or returned
 	alone     bool
+	ended     map[NodeID]endedMember
 	wakeAt    time.Duration // of the timer; valid if wakeSet is set
 	wakeSet   bool
 	stats     QuotaStats // as last emitted
@@ -39,6 +40,7 @@
 		limits.Window = defaultQuotaWindow
 	}
 	q.node, q.owner = quota.NewNode(limits, 0), quota.NewOwner(limits)
+	q.ended = map[NodeID]endedMember{}
 }
 
 // applyQuotas takes over the quotas of the active version.
@@ -64,60 +66,6 @@
 	s.log(LevelInfo, "quotas active", Field{"workspaces", len(limited)}, Field{"owned", q.owner.Owned()}, Field{"version", version})
 }
 
-// noteQuotaMember notes a change of a member that may change the owners of quotas.
-func (s *State) noteQuotaMember(before, after Member) {
-	if before.State != after.State || before.Incarnation != after.Incarnation {
-		s.quota.changedAt = s.now
-		s.quota.viewStale, s.quota.touched = true, true
-	}
-}
-
-// updateQuotaView passes the members to the quotas if they may have changed.
-func (s *State) updateQuotaView() {
-	q := &s.quota
-	if !q.viewStale && !q.alone && s.now-q.viewAt < quotaViewInterval {
-		return
-	}
-	q.viewStale, q.viewAt = false, s.now
-	view := s.quotaView()
-	q.alone = view.Alone
-	if !q.node.SetView(view) {
-		return
-	}
-	gained := q.owner.SetView(s.now, view)
-	if len(gained) > 0 {
-		s.log(LevelInfo, "owner of quotas", Field{"gained", len(gained)}, Field{"owned", q.owner.Owned()},
-			Field{"alive", view.Alive}, Field{"known", len(view.Known)})
-	}
-}
-
-func (s *State) quotaView() quota.View {
-	view := quota.View{
-		Self:      quota.Peer{Node: string(s.cfg.Self), Incarnation: uint64(s.cfg.Incarnation)},
-		ChangedAt: s.quota.changedAt,
-		Alone:     len(s.members.sorted()) == 1 && s.mayHaveUnknownPeers(),
-	}
-	for _, m := range s.members.sorted() {
-		if m.State == MemberLeft {
-			continue
-		}
-		view.Known = append(view.Known, string(m.Node))
-		if m.State == MemberAlive || m.State == MemberLeaving {
-			view.Alive++
-		}
-		if m.State == MemberAlive {
-			view.Live = append(view.Live, quota.Peer{Node: string(m.Node), Incarnation: uint64(m.Incarnation)})
-		}
-	}
-	return view
-}
-
-// mayHaveUnknownPeers reports whether there may be nodes that this one has not heard of. Unlike expectsPeers it does not
-// count a seed that is this node itself, so that a single node serves workspaces with a quota.
-func (s *State) mayHaveUnknownPeers() bool {
-	return len(s.joinAddresses()) > 0 || s.cfg.Discover && !s.platform.listed
-}
-
 // resetQuotas empties the buckets that this node owns after a pause of the process.
 func (s *State) resetQuotas() {
 	if s.quota.enabled {
--- a/reducer/quota/cluster_test.go
+++ b/reducer/quota/cluster_test.go
@@ -30,6 +30,7 @@
 	messages int
 	results  []*callRecord
 	fixed    bool // all nodes know each other from the start
+	evidence bool // nodes learn which processes have ended, if they can reach their instances
 }
 
 type callRecord struct {
@@ -56,6 +57,7 @@
 	heard    []time.Duration // when each instance was last heard, by c.now; negative for never
 	patience []time.Duration // silence after which it counts as lost
 	lives    []uint64
+	ended    []uint64 // first life that may have begun after the end of the process, by instance
 }
 
 type event struct {
@@ -82,7 +84,7 @@
 func newCluster(seed uint64, size int, limits Limits, fixed bool, quotas []tables.Workspace) *cluster {
 	c := &cluster{rng: rand.New(rand.NewPCG(seed, seed)), limits: limits, quotas: quotas, version: 1, calls: map[uint64]*callRecord{}, fixed: fixed}
 	for i := range size {
-		c.nodes = append(c.nodes, &instance{c: c, index: i, zone: i % 3, heard: make([]time.Duration, size), patience: make([]time.Duration, size), lives: make([]uint64, size)})
+		c.nodes = append(c.nodes, &instance{c: c, index: i, zone: i % 3, heard: make([]time.Duration, size), patience: make([]time.Duration, size), lives: make([]uint64, size), ended: make([]uint64, size)})
 	}
 	for _, in := range c.nodes {
 		in.start()
@@ -121,7 +123,7 @@
 	in.startAt, in.up, in.paused, in.deferred = in.c.now, true, false, nil
 	in.node, in.owner = NewNode(in.c.limits, 0), NewOwner(in.c.limits)
 	for j, other := range in.c.nodes {
-		in.heard[j], in.lives[j] = -1, other.life
+		in.heard[j], in.lives[j], in.ended[j] = -1, other.life, 0
 		in.patience[j] = time.Duration(1200+in.c.rng.IntN(2400)) * time.Millisecond
 		if in.c.fixed {
 			in.heard[j] = in.c.now
@@ -196,6 +198,9 @@
 
 func (in *instance) tick() {
 	for j, other := range in.c.nodes {
+		if in.c.evidence && !other.up && in.side == other.side {
+			in.ended[j] = other.life
+		}
 		if j == in.index || !in.reaches(other) {
 			continue
 		}
@@ -216,6 +221,10 @@
 			continue
 		}
 		view.Known = append(view.Known, nodeName(j))
+		if in.lives[j] < in.ended[j] {
+			view.Ended++
+			continue
+		}
 		if in.c.fixed || in.c.now-at < in.patience[j] {
 			view.Live = append(view.Live, Peer{nodeName(j), in.lives[j]})
 			view.Alive++
--- a/reducer/quota/failure_sim_test.go
+++ b/reducer/quota/failure_sim_test.go
@@ -33,8 +33,9 @@
 	return nil
 }
 
-// notice makes all other nodes suspect an instance 1.2 to 1.6 s from now, as the failure detector does.
-func (c *cluster) notice(lost *instance) {
+// notice makes all other nodes suspect an instance 1.2 to 1.6 s from now, as the failure detector does. They know whether its
+// process has ended if ended is set.
+func (c *cluster) notice(lost *instance, ended bool) {
 	for _, in := range c.nodes {
 		if in == lost || !in.up {
 			continue
@@ -51,6 +52,9 @@
 				}
 			}
 			view.Live, view.Alive, view.ChangedAt = live, view.Alive-1, in.clock()
+			if ended {
+				view.Ended++
+			}
 			in.node.SetView(view)
 			in.owner.SetView(in.clock(), view)
 			in.flush()
@@ -90,7 +94,7 @@
 		c.run(lossAt)
 		lost := c.ownerNode(name)
 		lost.kill()
-		c.notice(lost)
+		c.notice(lost, false)
 		c.run(lossAt + lossWindow + 5*time.Second)
 		sum, worst, share := c.refusedIn(lossAt, lossWindow)
 		own := c.outcomesIn(name, lossAt, lossWindow)
@@ -124,7 +128,7 @@
 	c.run(lossAt)
 	paused := c.ownerNode("w0")
 	paused.paused, paused.pausedAt = true, c.now
-	c.notice(paused)
+	c.notice(paused, false)
 	c.run(lossAt + 2*time.Second)
 	paused.resume()
 	c.recognise()
@@ -137,6 +141,40 @@
 	}
 }
 
+// Guards against refused calls within the quota for ten minutes after the end of 40 nodes of 90: the others must grant the whole
+// rate.
+func TestEndedNodesRefuseFewCalls(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		c := newCluster(6, 90, deploymentLimits, true, deploymentWorkspaces())
+		for _, w := range c.quotas {
+			c.load(w.Name, func() float64 {
+				if c.now > lossAt {
+					return w.Rate / 1.6 * 90 / 50 // of which 50 in 90 go to nodes that run
+				}
+				return w.Rate / 1.6
+			}, 30*time.Second)
+		}
+		c.run(lossAt)
+		for i, in := range c.nodes {
+			if i%9 < 4 {
+				in.kill()
+			}
+		}
+		for _, in := range c.nodes {
+			if !in.up {
+				c.notice(in, ended)
+			}
+		}
+		c.run(32 * time.Second)
+		sum, worst, share := c.refusedIn(20*time.Second, lossWindow)
+		t.Logf("known that the processes have ended: %v: %d of %d calls refused (%.2f%%), worst %s %.2f%%", ended, sum.refused, sum.calls,
+			100*float64(sum.refused)/float64(sum.calls), worst, 100*share)
+		if ended && float64(sum.refused) > mostRefused*float64(sum.calls) {
+			t.Errorf("%d of %d calls refused", sum.refused, sum.calls)
+		}
+	}
+}
+
 // Guards against calls of one workspace that are refused because they all enter at one node.
 func TestDemandAtOneNodeIsAdmitted(t *testing.T) {
 	c := newCluster(5, 90, deploymentLimits, true, deploymentWorkspaces())
--- a/reducer/quota/node.go
+++ b/reducer/quota/node.go
@@ -193,7 +193,7 @@
 
 // SetView sets the members that are known, and reports whether they have changed.
 func (n *Node) SetView(view View) bool {
-	if old := &n.view; slices.Equal(old.Live, view.Live) && slices.Equal(old.Known, view.Known) && old.Alive == view.Alive && old.Alone == view.Alone {
+	if old := &n.view; slices.Equal(old.Live, view.Live) && slices.Equal(old.Known, view.Known) && old.Alive == view.Alive && old.Ended == view.Ended && old.Alone == view.Alone {
 		return false
 	}
 	n.view = view
--- a/reducer/quota/plan.go
+++ b/reducer/quota/plan.go
@@ -119,6 +119,7 @@
 	Live  []Peer   // that may own quotas
 	Alive int      // members that are heard
 	Known []string // members that have not left, whether they are heard or not
+	Ended int      // members of Known whose process is known to have ended
 	// ChangedAt is when the members changed last.
 	ChangedAt time.Duration
 	// Alone is set while the node may be cut off from others that it has not heard of. It then owns nothing.
@@ -176,12 +177,13 @@
 	return 0
 }
 
-// share returns the part of the rate that an owner may grant: that of the members that it hears among all known.
+// share returns the part of the rate that an owner may grant: that of the members that it hears among all known whose process
+// may run.
 func (v *View) share() float64 {
 	if v.Alone || len(v.Known) == 0 {
 		return 0
 	}
-	return min(float64(v.Alive)/float64(len(v.Known)), 1)
+	return min(float64(v.Alive)/float64(max(len(v.Known)-v.Ended, 1)), 1)
 }
 
 // nameHash is the state of a rendezvous hash after the name of a quota.
