reducer: owners of quotas begin when all nodes agree, and know how many nodes there are from the store

Cause: after a restart of all nodes each owner held its grants for 3 s, in which tokens of an earlier owner may be used. And nodes of one side of a partition that all restarted knew none of the others, and granted the whole rate.

Change: the entry of a node in the store names the number of members that it knows (field "members", only with quotas, written again after a renewal of the lease if it has changed). A starting node takes the greatest number of the entries that it lists; it counts for the share for 10 minutes, without members that have left or ended since. In the first 10 s of a process, if that many nodes are heard, an owner that holds its grants asks all nodes to agree: a node that agrees gives up the tokens of other owners, and neither owns the part nor takes over its bucket for 3 s. When all have agreed within 1 s, the owner begins with an empty bucket. Without the number, with a node of an earlier version, or with a node missing, the hold is 3 s as before.

--- a/internal/faultmatrix/quota_members_test.go
+++ b/internal/faultmatrix/quota_members_test.go
@@ -77,3 +77,45 @@
 	q.Run(q.Now + 3*time.Second)
 	q.checkQuota(t, 64, 64, 0)
 }
+
+// Guards against a hold of 3 s after the restart of all nodes: they know from the entries in the store how many they are, and begin
+// when all have agreed.
+func TestQuotaAfterRestartOfAllNodes(t *testing.T) {
+	q := newQuotaWorld(64, 64)
+	q.load(40, 2*time.Second)
+	for _, n := range q.Nodes() {
+		n.Kill()
+	}
+	for _, n := range q.Nodes() {
+		n.Start()
+	}
+	q.Run(q.Now + 2*time.Second) // 1 s to find each other and 1 s of hold
+	granting := q.Now
+	q.load(40, 5*time.Second)
+	q.Run(q.Now + 3*time.Second)
+	if sent, refused, _ := q.counts(granting); sent < 190 || refused > 0 {
+		t.Errorf("%d of %d requests refused from 2 s after the restart on", refused, sent)
+	}
+	q.checkQuota(t, 64, 64, 0)
+}
+
+// Guards against a side of a partition that grants the whole rate because all of its nodes have restarted and know none of the
+// others. The store is reachable from both sides.
+func TestQuotaAfterRestartOfOneSide(t *testing.T) {
+	q := newQuotaWorld(64, 64)
+	q.load(200, 2*time.Second)
+	q.CutZone("Horten")
+	q.load(200, 5*time.Second)
+	for _, n := range q.Nodes()[2:5] { // in Horten
+		n.Kill()
+		n.Start()
+	}
+	q.load(200, 8*time.Second)
+	settled := q.Now
+	q.load(200, 10*time.Second)
+	sent, refused, _ := q.counts(settled)
+	if passed := sent - refused; passed > 64*10*21/20 {
+		t.Errorf("%d requests passed in 10 s at a rate of 64", passed)
+	}
+	q.checkQuota(t, 64, 64, 0)
+}
--- a/reducer/discovery.go
+++ b/reducer/discovery.go
@@ -30,6 +30,7 @@
 // platformState is the state of this node's entry in the platform's store and of the listing of other entries.
 type platformState struct {
 	lease             uint64       // 0 when there is none
+	members           int          // that the entry names
 	announced         bool         // the entry of this node is written under the lease
 	announceCall      platformCall // for the lease and the entry
 	listCall          platformCall // for the listing
@@ -101,7 +102,8 @@
 	case p.lease == 0:
 		s.emit(GrantLease{TTL: nodeLeaseTTL})
 	case !p.announced:
-		s.emit(AnnounceNode{Lease: p.lease, Entry: NodeEntry{Node: s.cfg.Self, Zone: s.cfg.Zone, Address: s.cfg.Address}})
+		p.members = s.announcedMembers()
+		s.emit(AnnounceNode{Lease: p.lease, Entry: NodeEntry{Node: s.cfg.Self, Zone: s.cfg.Zone, Address: s.cfg.Address, Members: p.members}})
 	default:
 		s.emit(RenewLease{Lease: p.lease})
 	}
@@ -137,7 +139,14 @@
 	s.endAnnounceStep(in.Result, leaseRenewInterval)
 }
 
-func (s *State) handleLeaseRenewed(in LeaseRenewed) { s.endAnnounceStep(in.Result, leaseRenewInterval) }
+// handleLeaseRenewed also writes the entry again if it names another number of members.
+func (s *State) handleLeaseRenewed(in LeaseRenewed) {
+	next := leaseRenewInterval
+	if in.Result == StoreOK && s.platform.members != s.announcedMembers() {
+		s.platform.announced, next = false, 0
+	}
+	s.endAnnounceStep(in.Result, next)
+}
 
 // listNodes lists the entries of the other nodes: at the start, and then if this node knows no others or is a reader of
 // its zone.
@@ -170,6 +179,7 @@
 	p.listCall.recordSuccess()
 	p.listed = true
 	s.noteInvalidEntries(in.Invalid)
+	s.noteExpectedMembers(in.Nodes)
 	s.joinListedNodes(in.Nodes)
 	next := listInterval
 	if s.members.livePeers == 0 {
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -302,6 +302,8 @@
 	Node    NodeID `json:"node"`
 	Zone    string `json:"zone"`
 	Address string `json:"address"` // IP:port of the peer listener
+	// Members is the number of members that the node knew when it wrote the entry, or 0 if it limits no workspace.
+	Members int `json:"members,omitempty"`
 }
 
 // RolloutsRead reports the result of a ReadRollouts effect: the orders and the stored states of all roll-outs.
--- a/reducer/quota.go
+++ b/reducer/quota.go
@@ -29,10 +29,13 @@
 	changedAt time.Duration // when a member joined, left, was lost or returned
 	alone     bool
 	ended     map[NodeID]endedMember
-	wakeAt    time.Duration // of the timer; valid if wakeSet is set
-	wakeSet   bool
-	stats     QuotaStats // as last emitted
-	statsAt   time.Duration
+	// expected is the number of members that the entries in the store named at the start, read at expectedAt.
+	expected   int
+	expectedAt time.Duration
+	wakeAt     time.Duration // of the timer; valid if wakeSet is set
+	wakeSet    bool
+	stats      QuotaStats // as last emitted
+	statsAt    time.Duration
 }
 
 func (q *quotaState) init(limits quota.Limits) {
@@ -124,12 +127,28 @@
 		s.log(LevelInfo, "quotas taken over", Field{"from", from.Node}, Field{"workspaces", len(in.Releases)})
 	}
 	if len(in.Asks) > 0 {
-		s.emit(Send{To: from, Message: QuotaGrant{q.owner.Handle(s.now, quotaPeer(from), in.Request)}})
+		s.emit(Send{To: from, Message: QuotaGrant{Grant: q.owner.Handle(s.now, quotaPeer(from), in.Request)}})
+	}
+	if in.Query.Round > 0 {
+		s.emit(Send{To: from, Message: QuotaGrant{Answer: s.answerQuotaQuery(quotaPeer(from), in.Query)}})
 	}
 }
 
+// answerQuotaQuery agrees, unless this node owns one of the parts, that another one begins to grant them.
+func (s *State) answerQuotaQuery(from quota.Peer, query quota.Query) quota.Answer {
+	free := s.quota.owner.HandleQuery(s.now, query)
+	if free {
+		s.quota.node.Forfeit(from, query.Parts)
+	}
+	return quota.Answer{Round: query.Round, Free: free}
+}
+
 func (s *State) handleQuotaGrant(from PeerRef, in QuotaGrant) {
 	s.quota.touched = true
+	if in.Answer.Round > 0 {
+		s.quota.owner.HandleAnswer(s.now, quotaPeer(from), in.Answer)
+		return
+	}
 	s.quota.node.HandleGrant(s.now, quotaPeer(from), in.Grant)
 }
 
@@ -148,9 +167,7 @@
 	if q.enabled {
 		s.updateQuotaView()
 	}
-	for _, out := range q.owner.TakeReleases() {
-		s.sendQuota(out)
-	}
+	s.advanceQuotaOwner()
 	for decisions, outgoing := q.node.Take(); len(decisions)+len(outgoing) > 0; decisions, outgoing = q.node.Take() {
 		for _, d := range decisions {
 			s.decideByQuota(d)
@@ -167,19 +184,42 @@
 	s.emitQuotaStats()
 }
 
+// advanceQuotaOwner sends the passed buckets and the queries that are due.
+func (s *State) advanceQuotaOwner() {
+	q := &s.quota
+	recovered := q.owner.Stats.Recovered
+	q.owner.Advance(s.now)
+	for outgoing := q.owner.TakeReleases(); len(outgoing) > 0; outgoing = q.owner.TakeReleases() {
+		for _, out := range outgoing {
+			s.sendQuota(out)
+		}
+	}
+	if n := q.owner.Stats.Recovered - recovered; n > 0 {
+		s.log(LevelInfo, "hold of quotas ended early", Field{"parts", int(n)})
+	}
+}
+
 func (s *State) sendQuota(out quota.Outgoing) {
 	if out.To.Node == string(s.cfg.Self) {
+		if out.Query.Round > 0 {
+			s.quota.node.Forfeit(out.To, out.Query.Parts)
+			s.quota.owner.HandleAnswer(s.now, out.To, quota.Answer{Round: out.Query.Round, Free: true})
+			return
+		}
 		s.quota.node.HandleGrant(s.now, out.To, s.quota.owner.Handle(s.now, out.To, out.Request))
 		return
 	}
 	if member, known := s.members.table[NodeID(out.To.Node)]; known {
-		s.emit(Send{To: member.Ref(), Message: QuotaRequest{Request: out.Request, Releases: out.Releases}})
+		s.emit(Send{To: member.Ref(), Message: QuotaRequest{Request: out.Request, Releases: out.Releases, Query: out.Query}})
 	}
 }
 
 func (s *State) setQuotaTimer() {
 	q := &s.quota
 	at, ok := q.node.NextWake(s.now)
+	if ownerAt, owns := q.owner.NextWake(); owns && (!ok || ownerAt < at) {
+		at, ok = ownerAt, true
+	}
 	switch {
 	case ok && (!q.wakeSet || at != q.wakeAt):
 		s.timers.set(timerKey{kind: timerQuota}, at)
--- a/reducer/quota/node.go
+++ b/reducer/quota/node.go
@@ -59,11 +59,12 @@
 	Wait       time.Duration // how long the call waited
 }
 
-// Outgoing is a message to another node: a request to an owner, or buckets that the sender no longer owns.
+// Outgoing is a message to another node: a request to an owner, buckets that the sender no longer owns, or a query of an owner.
 type Outgoing struct {
 	To       Peer
 	Request  Request
 	Releases []Release
+	Query    Query
 }
 
 // Report tells of refused calls of a workspace. There is one in reportInterval.
@@ -193,7 +194,7 @@
 
 // SetView sets the members that are known, and reports whether they have changed.
 func (n *Node) SetView(view View) bool {
-	if old := &n.view; slices.Equal(old.Live, view.Live) && slices.Equal(old.Known, view.Known) && old.Alive == view.Alive && old.Ended == view.Ended && old.Alone == view.Alone {
+	if old := &n.view; slices.Equal(old.Live, view.Live) && slices.Equal(old.Known, view.Known) && old.Alive == view.Alive && old.Ended == view.Ended && old.Expected == view.Expected && old.Alone == view.Alone {
 		return false
 	}
 	n.view = view
--- a/reducer/quota/owner.go
+++ b/reducer/quota/owner.go
@@ -43,6 +43,7 @@
 // OwnerStats counts what an owner decided.
 type OwnerStats struct {
 	Requests, Granted, Returned, Short float64
+	Recovered                          float64 // parts whose hold ended early
 }
 
 // Owner grants the tokens of the workspaces that a node owns.
@@ -58,6 +59,9 @@
 	wasReset   bool
 	version    uint64 // of the tables
 	releases   []Outgoing
+	recovery   *recovery                  // nil unless queries are open
+	rounds     uint64                     // of queries since the start
+	promised   map[string]time.Duration   // when this node agreed that another one owns a part
 	received   map[string]receivedRelease // by workspace; only those that arrived before this node knew that it is the owner
 	Stats      OwnerStats
 }
@@ -96,7 +100,7 @@
 
 // NewOwner returns an owner that owns nothing yet.
 func NewOwner(limits Limits) *Owner {
-	return &Owner{limits: limits, workspaces: map[string]tables.Workspace{}, buckets: map[string]*bucket{}, received: map[string]receivedRelease{}}
+	return &Owner{limits: limits, workspaces: map[string]tables.Workspace{}, buckets: map[string]*bucket{}, received: map[string]receivedRelease{}, promised: map[string]time.Duration{}}
 }
 
 // SetWorkspaces sets the workspaces with a quota of a version of the tables. A changed quota takes effect at once.
@@ -182,6 +186,9 @@
 	if len(o.view.Known) > 1 {
 		b.heldTo = o.view.ChangedAt + takeOverDelay
 	}
+	if o.hasPromised(now, name) {
+		b.heldTo = max(b.heldTo, o.promised[name]+takeOverDelay)
+	}
 	o.buckets[name] = b
 	if r, ok := o.received[name]; ok && now-r.at < releaseRetention {
 		o.takeOver(now, b, r.Release)
@@ -203,7 +210,7 @@
 
 func (o *Owner) sendRelease(to Peer, release Release) {
 	for i := range o.releases {
-		if o.releases[i].To == to {
+		if o.releases[i].To == to && o.releases[i].Query.Round == 0 {
 			o.releases[i].Releases = append(o.releases[i].Releases, release)
 			return
 		}
@@ -211,7 +218,7 @@
 	o.releases = append(o.releases, Outgoing{To: to, Releases: []Release{release}})
 }
 
-// TakeReleases returns the messages about passed buckets since the last call.
+// TakeReleases returns the messages about passed buckets and the queries since the last call.
 func (o *Owner) TakeReleases() []Outgoing {
 	releases := o.releases
 	o.releases = nil
@@ -226,6 +233,9 @@
 		return
 	}
 	for _, r := range releases {
+		if o.hasPromised(now, r.Workspace) {
+			continue
+		}
 		if b := o.buckets[r.Workspace]; b != nil {
 			o.takeOver(now, b, r)
 		} else if o.mayOwn(r.Workspace) && !o.passOn(r) {
--- a/reducer/quota/plan.go
+++ b/reducer/quota/plan.go
@@ -120,6 +120,9 @@
 	Alive int      // members that are heard
 	Known []string // members that have not left, whether they are heard or not
 	Ended int      // members of Known whose process is known to have ended
+	// Expected is the number of members that the store's entries named at the start, without those that have left or ended since, or
+	// 0 if it is not known. All nodes of one side of a partition may have restarted and know none of the others.
+	Expected int
 	// ChangedAt is when the members changed last.
 	ChangedAt time.Duration
 	// Alone is set while the node may be cut off from others that it has not heard of. It then owns nothing.
@@ -183,7 +186,7 @@
 	if v.Alone || len(v.Known) == 0 {
 		return 0
 	}
-	return min(float64(v.Alive)/float64(max(len(v.Known)-v.Ended, 1)), 1)
+	return min(float64(v.Alive)/float64(max(len(v.Known)-v.Ended, v.Expected, 1)), 1)
 }
 
 // nameHash is the state of a rendezvous hash after the name of a quota.
--- a/reducer/quota_members.go
+++ b/reducer/quota_members.go
@@ -38,6 +38,7 @@
 	view := quota.View{
 		Self:      quota.Peer{Node: string(s.cfg.Self), Incarnation: uint64(s.cfg.Incarnation)},
 		ChangedAt: s.quota.changedAt,
+		Expected:  s.expectedQuotaMembers(),
 		Alone:     len(s.members.sorted()) == 1 && s.mayHaveUnknownPeers(),
 	}
 	for _, m := range s.members.sorted() {
@@ -64,6 +65,68 @@
 	return len(s.joinAddresses()) > 0 || s.cfg.Discover && !s.platform.listed
 }
 
+const (
+	// expectedPeriod is the time after the start in which the entries in the store are read for the number of members. Entries of
+	// earlier processes are gone after nodeLeaseTTL.
+	expectedPeriod = nodeLeaseTTL
+	// expectedRetention is how long that number counts: as long as a dead member is known.
+	expectedRetention = tombstoneRetention
+)
+
+// noteExpectedMembers takes over the number of members that the entries in the store name. All nodes that this one can reach may
+// have restarted, and know none of those beyond a partition.
+func (s *State) noteExpectedMembers(entries []NodeEntry) {
+	if s.now >= expectedPeriod {
+		return
+	}
+	most := s.quota.expected
+	for _, e := range entries {
+		most = max(most, min(e.Members, s.cfg.Limits.MaxMembers))
+	}
+	if most > s.quota.expected {
+		s.quota.expected, s.quota.expectedAt = most, s.now
+		s.quota.viewStale, s.quota.touched = true, true
+	}
+}
+
+// expectedQuotaMembers returns that number without the members that have left, and those whose process has ended, since it was read.
+func (s *State) expectedQuotaMembers() int {
+	q := &s.quota
+	if s.now >= expectedRetention || q.expected == 0 {
+		return 0
+	}
+	gone := 0
+	for _, m := range s.members.sorted() {
+		at, over := s.members.endedAt[m.Node]
+		if (m.State == MemberLeft || s.hasEnded(m)) && (!over || at > q.expectedAt) {
+			gone++
+		}
+	}
+	return max(q.expected-gone, 1)
+}
+
+// announcedMembers returns the number of members for this node's entry in the store, or 0 without quotas. In the first seconds it
+// is at least that of earlier entries, so that it outlives a restart of all nodes one after the other.
+func (s *State) announcedMembers() int {
+	early := s.now < expectedPeriod
+	if !s.quota.enabled {
+		if early { // the version may not be active yet
+			return s.quota.expected
+		}
+		return 0
+	}
+	known := 0
+	for _, m := range s.members.sorted() {
+		if m.State != MemberLeft && !s.hasEnded(m) {
+			known++
+		}
+	}
+	if early {
+		known = max(known, s.quota.expected)
+	}
+	return known
+}
+
 const (
 	// firstProbeInterval and maxProbeInterval bound the interval of the probes of a dead member, which doubles. An address that
 	// does not refuse connections belongs to an instance that is gone or cut off, and few of those come back soon.
--- a/runner/peer/wire_quota.go
+++ b/runner/peer/wire_quota.go
@@ -12,6 +12,9 @@
 	Seq      uint64
 	Asks     []QuotaAsk
 	Releases []QuotaRelease
+	// QueryRound and QueryParts are quota.Query.
+	QueryRound uint64
+	QueryParts []string
 }
 
 // QuotaAsk is quota.Ask on the wire.
@@ -34,6 +37,9 @@
 	Seq     uint64
 	Version uint64
 	Tokens  []QuotaTokens
+	// AnswerRound and AnswerFree are quota.Answer.
+	AnswerRound uint64
+	AnswerFree  bool
 }
 
 // QuotaTokens is quota.Tokens on the wire.
@@ -66,7 +72,7 @@
 }
 
 func wireQuotaRequest(m reducer.QuotaRequest) *QuotaRequest {
-	out := &QuotaRequest{Seq: m.Seq}
+	out := &QuotaRequest{Seq: m.Seq, QueryRound: m.Query.Round, QueryParts: m.Query.Parts}
 	for _, a := range m.Asks {
 		out.Asks = append(out.Asks, QuotaAsk{
 			Workspace: a.Workspace, Needed: wireTokens(a.Needed), Ahead: wireTokens(a.Ahead), Held: wireTokens(a.Held),
@@ -81,7 +87,7 @@
 }
 
 func (q *QuotaRequest) toMessage() reducer.QuotaRequest {
-	out := reducer.QuotaRequest{Request: quota.Request{Seq: q.Seq}}
+	out := reducer.QuotaRequest{Request: quota.Request{Seq: q.Seq}, Query: quota.Query{Round: q.QueryRound, Parts: q.QueryParts}}
 	for _, a := range q.Asks {
 		out.Asks = append(out.Asks, quota.Ask{
 			Workspace: a.Workspace, Needed: fromWireTokens(a.Needed), Ahead: fromWireTokens(a.Ahead), Held: fromWireTokens(a.Held),
@@ -95,7 +101,7 @@
 }
 
 func wireQuotaGrant(m reducer.QuotaGrant) *QuotaGrant {
-	out := &QuotaGrant{Seq: m.Seq, Version: m.Version}
+	out := &QuotaGrant{Seq: m.Seq, Version: m.Version, AnswerRound: m.Answer.Round, AnswerFree: m.Answer.Free}
 	for _, t := range m.Tokens {
 		out.Tokens = append(out.Tokens, QuotaTokens{
 			Workspace: t.Workspace, Now: wireTokens(t.Now), Ahead: wireTokens(t.Ahead), ValidFor: uint64(max(t.ValidFor.Milliseconds(), 0)),
@@ -106,7 +112,9 @@
 }
 
 func (q *QuotaGrant) toMessage() reducer.QuotaGrant {
-	out := reducer.QuotaGrant{Grant: quota.Grant{Seq: q.Seq, Version: q.Version}}
+	out := reducer.QuotaGrant{
+		Grant: quota.Grant{Seq: q.Seq, Version: q.Version}, Answer: quota.Answer{Round: q.AnswerRound, Free: q.AnswerFree},
+	}
 	for _, t := range q.Tokens {
 		out.Tokens = append(out.Tokens, quota.Tokens{
 			Workspace: t.Workspace, Now: fromWireTokens(t.Now), Ahead: fromWireTokens(t.Ahead), ValidFor: fromWireMilliseconds(t.ValidFor),
--- a/runner/peer/wire_quota_test.go
+++ b/runner/peer/wire_quota_test.go
@@ -15,6 +15,8 @@
 func TestQuotaMessagesRoundTrip(t *testing.T) {
 	for _, want := range []reducer.Message{
 		reducer.QuotaRequest{Request: quota.Request{Seq: 7, Asks: []quota.Ask{{Workspace: "w", Needed: 1, Ahead: 2, Demand: 1.5, Held: 3, Returned: 4}}}},
+		reducer.QuotaRequest{Query: quota.Query{Round: 2, Parts: []string{"w", "w\x001"}}},
+		reducer.QuotaGrant{Answer: quota.Answer{Round: 2, Free: true}},
 		reducer.QuotaGrant{Grant: quota.Grant{Seq: 7, Version: 3, Tokens: []quota.Tokens{{
 			Workspace: "w", Now: 1, Ahead: 2, ValidFor: 2500 * time.Millisecond, RetryAfter: 20 * time.Millisecond, Quota: 2.5, NotGranting: true,
 		}}}},
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -144,7 +144,7 @@
 func (r *Runner) announceNode(ctx context.Context, e reducer.AnnounceNode) reducer.Input {
 	value, err := json.Marshal(e.Entry)
 	if err != nil {
-		panic(err) // cannot happen: the fields of the entry are strings
+		panic(err) // cannot happen: the fields of the entry are strings and numbers
 	}
 	outcome, _ := r.store.PutLeased(ctx, platform.KeyNodePrefix+string(e.Entry.Node), value, platform.LeaseID(e.Lease)) // the outcome suffices; the error only gives its cause
 	return reducer.NodeAnnounced{Result: writeResult(outcome), Lease: e.Lease}
