--- a/reducer/quota/node.go
+++ b/reducer/quota/node.go
@@ -23,9 +23,12 @@
 	silentInterval = 250 * time.Millisecond
 	// demandPeriod is the time constant of the average of the demand.
 	demandPeriod = 4 * time.Second
-	// minAheadDemand is the least demand for which a node holds tokens ahead. A single call gives 0.25: the tokens and
-	// messages that it would cost serve no second call of most workspaces.
-	minAheadDemand = 0.3
+	// minAheadDemand is the least demand for which a node holds tokens ahead. A single call gives 0.25, and two calls close
+	// together 0.5: the tokens and messages that less would cost serve no further call of most workspaces.
+	minAheadDemand = 0.45
+	// renewalLevel is the part of the target below which a node asks for more tokens ahead. With half of it the node sent a tenth
+	// more messages and waited as often.
+	renewalLevel = 1.0 / 3
 	// aheadTime is the time for whose expected calls a node holds tokens.
 	aheadTime = time.Second
 	// renewalFraction is the last part of the validity of tokens in which they are returned for new ones.
--- a/reducer/quota/node_ask.go
+++ b/reducer/quota/node_ask.go
@@ -20,8 +20,8 @@
 	}
 }
 
-// wants reports whether a workspace needs a request now: calls wait, or fewer than half of the tokens ahead are left that
-// need no renewal.
+// wants reports whether a workspace needs a request now: calls wait, or fewer than a third of the tokens ahead are left
+// that need no renewal.
 func (n *Node) wants(now time.Duration, a *account) bool {
 	if a.asked {
 		return false
@@ -33,8 +33,9 @@
 		return false
 	}
 	fresh := a.fresh(now)
-	// The demand falls until the next call, so that the exponential function is needed only below half of the greatest target.
-	return fresh < (math.Ceil(a.demand*aheadTime.Seconds())+1)/2 && fresh < (a.target(now)+1)/2
+	// The demand falls until the next call, so that the exponential function is needed only below that part of the greatest target.
+	most := math.Ceil(a.demand * aheadTime.Seconds())
+	return fresh < (most+1)*renewalLevel && fresh < (a.target(now)+1)*renewalLevel
 }
 
 // noteAhead notes how many tokens ahead an owner has granted. After fewer than the node asked for it asks another owner later, as
