--- a/reducer/quota_members.go
+++ b/reducer/quota_members.go
@@ -30,7 +30,7 @@
 	gained := q.owner.SetView(s.now, view)
 	if len(gained) > 0 {
 		s.log(LevelInfo, "owner of quotas", Field{"gained", len(gained)}, Field{"owned", q.owner.Owned()},
-			Field{"alive", view.Alive}, Field{"known", len(view.Known)})
+			Field{"alive", view.Alive}, Field{"known", len(view.Known)}, Field{"ended", view.Ended}, Field{"expected", view.Expected})
 	}
 }
 
