reducer/quota: the owners of a quota's parts share one hash of each name

Cause: a change of the members hashed each pair of part and node, at the node's and at the owner's side.

Change: the hash of workspace and node is continued for each part. The first part has the same owner as before. The simulation of lost nodes changes the view once for all of them.

--- a/reducer/quota/bench_test.go
+++ b/reducer/quota/bench_test.go
@@ -43,3 +43,22 @@
 	}
 	b.ReportMetric(float64(requests)/float64(b.N), "requests/op")
 }
+
+// BenchmarkView measures a change of the members at a node and its owner.
+func BenchmarkView(b *testing.B) {
+	workspaces := deploymentWorkspaces()
+	view := View{Self: Peer{nodeName(0), 1}, Alive: 90}
+	for i := range 90 {
+		view.Live = append(view.Live, Peer{nodeName(i), 1})
+		view.Known = append(view.Known, nodeName(i))
+	}
+	node, owner := NewNode(deploymentLimits, 0), NewOwner(deploymentLimits)
+	node.SetWorkspaces(0, 1, workspaces)
+	owner.SetWorkspaces(0, 1, workspaces)
+	b.ReportAllocs()
+	for i := range b.N {
+		view.Alive = 90 - i%2
+		node.SetView(view)
+		owner.SetView(time.Second, view)
+	}
+}
--- a/reducer/quota/failure_sim_test.go
+++ b/reducer/quota/failure_sim_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -33,27 +34,23 @@
 	return nil
 }
 
-// notice makes all other nodes suspect an instance 1.2 to 1.6 s from now, as the failure detector does. They know whether its
-// process has ended if ended is set.
-func (c *cluster) notice(lost *instance, ended bool) {
+// notice makes all other nodes suspect some instances 1.2 to 1.6 s from now, as the failure detector does. They know whether the
+// processes have ended if ended is set.
+func (c *cluster) notice(ended bool, lost ...*instance) {
+	names := map[string]bool{}
+	for _, in := range lost {
+		names[nodeName(in.index)] = true
+	}
 	for _, in := range c.nodes {
-		if in == lost || !in.up {
+		if names[nodeName(in.index)] {
 			continue
 		}
 		c.after(time.Duration(1200+c.rng.IntN(400))*time.Millisecond, func() {
-			if !in.up {
-				return
-			}
 			view := in.node.view
-			live := make([]Peer, 0, len(view.Live))
-			for _, peer := range view.Live {
-				if peer.Node != nodeName(lost.index) {
-					live = append(live, peer)
-				}
-			}
-			view.Live, view.Alive, view.ChangedAt = live, view.Alive-1, in.clock()
+			view.Live = slices.DeleteFunc(slices.Clone(view.Live), func(peer Peer) bool { return names[peer.Node] })
+			view.Alive, view.ChangedAt = len(view.Live), in.clock()
 			if ended {
-				view.Ended++
+				view.Ended = len(lost)
 			}
 			in.node.SetView(view)
 			in.owner.SetView(in.clock(), view)
@@ -94,7 +91,7 @@
 		c.run(lossAt)
 		lost := c.ownerNode(name)
 		lost.kill()
-		c.notice(lost, false)
+		c.notice(false, lost)
 		c.run(lossAt + lossWindow + time.Second)
 		sum, worst, share := c.refusedIn(lossAt, lossWindow)
 		own := c.outcomesIn(name, lossAt, lossWindow)
@@ -128,7 +125,7 @@
 	c.run(lossAt)
 	paused := c.ownerNode("w0")
 	paused.paused, paused.pausedAt = true, c.now
-	c.notice(paused, false)
+	c.notice(false, paused)
 	c.run(lossAt + 2*time.Second)
 	paused.resume()
 	c.recognise()
@@ -155,16 +152,14 @@
 			}, 30*time.Second)
 		}
 		c.run(lossAt)
+		var lost []*instance
 		for i, in := range c.nodes {
 			if i%9 < 4 {
 				in.kill()
+				lost = append(lost, in)
 			}
 		}
-		for _, in := range c.nodes {
-			if !in.up {
-				c.notice(in, ended)
-			}
-		}
+		c.notice(ended, lost...)
 		c.run(31 * time.Second)
 		sum, worst, share := c.refusedIn(20*time.Second, lossWindow)
 		t.Logf("known that the processes have ended: %v: %d of %d calls refused (%.2f%%), worst %s %.2f%%", ended, sum.refused, sum.calls,
--- a/reducer/quota/plan.go
+++ b/reducer/quota/plan.go
@@ -142,21 +142,41 @@
 // ownersOf returns the owners of the first parts of a workspace's quota. The owner of a part is the first live member by
 // rendezvous hashing that owns no earlier part; with fewer members than parts it may own several.
 func (v *View) ownersOf(workspace string, parts int) (owners [maxParts]Peer, ok bool) {
+	prefix := hashName(workspace)
+	var best [maxParts][maxParts]candidate // by part, the best first; a part needs one more than there are earlier parts
+	for _, peer := range v.Live {
+		hash := prefix.add(peer.Node)
+		for part := range parts {
+			insertCandidate(best[part][:part+1], candidate{peer, hash.scoreOf(part)})
+		}
+	}
 	for part := range parts {
-		prefix := hashName(partName(workspace, part))
-		var best uint64
-		for _, peer := range v.Live {
-			if part < len(v.Live) && slices.Contains(owners[:part], peer) {
-				continue
-			}
-			if score := prefix.score(peer.Node); owners[part].Node == "" || score > best {
-				owners[part], best = peer, score
+		owners[part] = best[part][0].peer
+		for _, c := range best[part][:part+1] {
+			if c.peer.Node != "" && !slices.Contains(owners[:part], c.peer) {
+				owners[part] = c.peer
+				break
 			}
 		}
 	}
 	return owners, len(v.Live) > 0 && !v.Alone
 }
 
+// candidate is a member that may own a part.
+type candidate struct {
+	peer  Peer
+	score uint64
+}
+
+// insertCandidate inserts a candidate into a list of the best ones, and drops the last.
+func insertCandidate(best []candidate, c candidate) {
+	for i := range best {
+		if best[i].peer.Node == "" || c.score > best[i].score {
+			best[i], c = c, best[i]
+		}
+	}
+}
+
 // allowanceOf returns how many requests of a workspace the node may admit in a window without an owner. If there are fewer
 // than members, the first ones by rendezvous hashing have one each.
 func (v *View) allowanceOf(workspace string, all int) int {
@@ -204,9 +224,15 @@
 	return h
 }
 
-// score is the rendezvous hash of a quota and a node. A final mix follows, because names differ in their last bytes.
-func (h nameHash) score(node string) uint64 {
-	x := uint64(h.add(node))
+// score is the rendezvous hash of the first part of a quota and a node.
+func (h nameHash) score(node string) uint64 { return h.add(node).scoreOf(0) }
+
+// partFactor makes the hashes of the parts of a quota differ.
+const partFactor = 0x9e3779b97f4a7c15
+
+// scoreOf ends the hash for a part with a final mix, because names differ in their last bytes.
+func (h nameHash) scoreOf(part int) uint64 {
+	x := uint64(h) ^ uint64(part)*partFactor
 	x = (x ^ x>>33) * 0xff51afd7ed558ccd
 	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
