--- a/reducer/quota.go
+++ b/reducer/quota.go
@@ -28,10 +28,14 @@
 	viewAt    time.Duration // of the last update of the view
 	changedAt time.Duration // when a member joined, left, was lost or returned
 	alone     bool
-	wakeAt    time.Duration // of the timer; valid if wakeSet is set
-	wakeSet   bool
-	stats     QuotaStats // as last emitted
-	statsAt   time.Duration
+	ended     map[NodeID]endedMember
+	// expected is the number of members that the entries in the store named at the start, read at expectedAt.
+	expected   int
+	expectedAt time.Duration
+	wakeAt     time.Duration // of the timer; valid if wakeSet is set
+	wakeSet    bool
+	stats      QuotaStats // as last emitted
+	statsAt    time.Duration
 }
 
 func (q *quotaState) init(limits quota.Limits) {
@@ -39,6 +43,7 @@
 		limits.Window = defaultQuotaWindow
 	}
 	q.node, q.owner = quota.NewNode(limits, 0), quota.NewOwner(limits)
+	q.ended = map[NodeID]endedMember{}
 }
 
 // applyQuotas takes over the quotas of the active version.
@@ -64,60 +69,6 @@
 	s.log(LevelInfo, "quotas active", Field{"workspaces", len(limited)}, Field{"owned", q.owner.Owned()}, Field{"version", version})
 }
 
-// noteQuotaMember notes a change of a member that may change the owners of quotas.
-func (s *State) noteQuotaMember(before, after Member) {
-	if before.State != after.State || before.Incarnation != after.Incarnation {
-		s.quota.changedAt = s.now
-		s.quota.viewStale, s.quota.touched = true, true
-	}
-}
-
-// updateQuotaView passes the members to the quotas if they may have changed.
-func (s *State) updateQuotaView() {
-	q := &s.quota
-	if !q.viewStale && !q.alone && s.now-q.viewAt < quotaViewInterval {
-		return
-	}
-	q.viewStale, q.viewAt = false, s.now
-	view := s.quotaView()
-	q.alone = view.Alone
-	if !q.node.SetView(view) {
-		return
-	}
-	gained := q.owner.SetView(s.now, view)
-	if len(gained) > 0 {
-		s.log(LevelInfo, "owner of quotas", Field{"gained", len(gained)}, Field{"owned", q.owner.Owned()},
-			Field{"alive", view.Alive}, Field{"known", len(view.Known)})
-	}
-}
-
-func (s *State) quotaView() quota.View {
-	view := quota.View{
-		Self:      quota.Peer{Node: string(s.cfg.Self), Incarnation: uint64(s.cfg.Incarnation)},
-		ChangedAt: s.quota.changedAt,
-		Alone:     len(s.members.sorted()) == 1 && s.mayHaveUnknownPeers(),
-	}
-	for _, m := range s.members.sorted() {
-		if m.State == MemberLeft {
-			continue
-		}
-		view.Known = append(view.Known, string(m.Node))
-		if m.State == MemberAlive || m.State == MemberLeaving {
-			view.Alive++
-		}
-		if m.State == MemberAlive {
-			view.Live = append(view.Live, quota.Peer{Node: string(m.Node), Incarnation: uint64(m.Incarnation)})
-		}
-	}
-	return view
-}
-
-// mayHaveUnknownPeers reports whether there may be nodes that this one has not heard of. Unlike expectsPeers it does not
-// count a seed that is this node itself, so that a single node serves workspaces with a quota.
-func (s *State) mayHaveUnknownPeers() bool {
-	return len(s.joinAddresses()) > 0 || s.cfg.Discover && !s.platform.listed
-}
-
 // resetQuotas empties the buckets that this node owns after a pause of the process.
 func (s *State) resetQuotas() {
 	if s.quota.enabled {
@@ -176,12 +127,28 @@
 		s.log(LevelInfo, "quotas taken over", Field{"from", from.Node}, Field{"workspaces", len(in.Releases)})
 	}
 	if len(in.Asks) > 0 {
-		s.emit(Send{To: from, Message: QuotaGrant{q.owner.Handle(s.now, quotaPeer(from), in.Request)}})
+		s.emit(Send{To: from, Message: QuotaGrant{Grant: q.owner.Handle(s.now, quotaPeer(from), in.Request)}})
+	}
+	if in.Query.Round > 0 {
+		s.emit(Send{To: from, Message: QuotaGrant{Answer: s.answerQuotaQuery(quotaPeer(from), in.Query)}})
+	}
+}
+
+// answerQuotaQuery agrees, unless this node owns one of the parts, that another one begins to grant them.
+func (s *State) answerQuotaQuery(from quota.Peer, query quota.Query) quota.Answer {
+	free := s.quota.owner.HandleQuery(s.now, query)
+	if free {
+		s.quota.node.Forfeit(from, query.Parts)
 	}
+	return quota.Answer{Round: query.Round, Free: free}
 }
 
 func (s *State) handleQuotaGrant(from PeerRef, in QuotaGrant) {
 	s.quota.touched = true
+	if in.Answer.Round > 0 {
+		s.quota.owner.HandleAnswer(s.now, quotaPeer(from), in.Answer)
+		return
+	}
 	s.quota.node.HandleGrant(s.now, quotaPeer(from), in.Grant)
 }
 
@@ -200,9 +167,7 @@
 	if q.enabled {
 		s.updateQuotaView()
 	}
-	for _, out := range q.owner.TakeReleases() {
-		s.sendQuota(out)
-	}
+	s.advanceQuotaOwner()
 	for decisions, outgoing := q.node.Take(); len(decisions)+len(outgoing) > 0; decisions, outgoing = q.node.Take() {
 		for _, d := range decisions {
 			s.decideByQuota(d)
@@ -219,19 +184,42 @@
 	s.emitQuotaStats()
 }
 
+// advanceQuotaOwner sends the passed buckets and the queries that are due.
+func (s *State) advanceQuotaOwner() {
+	q := &s.quota
+	recovered := q.owner.Stats.Recovered
+	q.owner.Advance(s.now)
+	for outgoing := q.owner.TakeReleases(); len(outgoing) > 0; outgoing = q.owner.TakeReleases() {
+		for _, out := range outgoing {
+			s.sendQuota(out)
+		}
+	}
+	if n := q.owner.Stats.Recovered - recovered; n > 0 {
+		s.log(LevelInfo, "hold of quotas ended early", Field{"parts", int(n)})
+	}
+}
+
 func (s *State) sendQuota(out quota.Outgoing) {
 	if out.To.Node == string(s.cfg.Self) {
+		if out.Query.Round > 0 {
+			s.quota.node.Forfeit(out.To, out.Query.Parts)
+			s.quota.owner.HandleAnswer(s.now, out.To, quota.Answer{Round: out.Query.Round, Free: true})
+			return
+		}
 		s.quota.node.HandleGrant(s.now, out.To, s.quota.owner.Handle(s.now, out.To, out.Request))
 		return
 	}
 	if member, known := s.members.table[NodeID(out.To.Node)]; known {
-		s.emit(Send{To: member.Ref(), Message: QuotaRequest{Request: out.Request, Releases: out.Releases}})
+		s.emit(Send{To: member.Ref(), Message: QuotaRequest{Request: out.Request, Releases: out.Releases, Query: out.Query}})
 	}
 }
 
 func (s *State) setQuotaTimer() {
 	q := &s.quota
 	at, ok := q.node.NextWake(s.now)
+	if ownerAt, owns := q.owner.NextWake(); owns && (!ok || ownerAt < at) {
+		at, ok = ownerAt, true
+	}
 	switch {
 	case ok && (!q.wakeSet || at != q.wakeAt):
 		s.timers.set(timerKey{kind: timerQuota}, at)
--- a/reducer/quota/cluster_test.go
+++ b/reducer/quota/cluster_test.go
@@ -30,6 +30,8 @@
 	messages int
 	results  []*callRecord
 	fixed    bool // all nodes know each other from the start
+	expected int  // members that the instances know of at the start
+	evidence bool // nodes learn which processes have ended, if they can reach their instances
 }
 
 type callRecord struct {
@@ -56,6 +58,7 @@
 	heard    []time.Duration // when each instance was last heard, by c.now; negative for never
 	patience []time.Duration // silence after which it counts as lost
 	lives    []uint64
+	ended    []uint64 // first life that may have begun after the end of the process, by instance
 }
 
 type event struct {
@@ -82,7 +85,7 @@
 func newCluster(seed uint64, size int, limits Limits, fixed bool, quotas []tables.Workspace) *cluster {
 	c := &cluster{rng: rand.New(rand.NewPCG(seed, seed)), limits: limits, quotas: quotas, version: 1, calls: map[uint64]*callRecord{}, fixed: fixed}
 	for i := range size {
-		c.nodes = append(c.nodes, &instance{c: c, index: i, zone: i % 3, heard: make([]time.Duration, size), patience: make([]time.Duration, size), lives: make([]uint64, size)})
+		c.nodes = append(c.nodes, &instance{c: c, index: i, zone: i % 3, heard: make([]time.Duration, size), patience: make([]time.Duration, size), lives: make([]uint64, size), ended: make([]uint64, size)})
 	}
 	for _, in := range c.nodes {
 		in.start()
@@ -121,7 +124,7 @@
 	in.startAt, in.up, in.paused, in.deferred = in.c.now, true, false, nil
 	in.node, in.owner = NewNode(in.c.limits, 0), NewOwner(in.c.limits)
 	for j, other := range in.c.nodes {
-		in.heard[j], in.lives[j] = -1, other.life
+		in.heard[j], in.lives[j], in.ended[j] = -1, other.life, 0
 		in.patience[j] = time.Duration(1200+in.c.rng.IntN(2400)) * time.Millisecond
 		if in.c.fixed {
 			in.heard[j] = in.c.now
@@ -196,6 +199,9 @@
 
 func (in *instance) tick() {
 	for j, other := range in.c.nodes {
+		if in.c.evidence && !other.up && in.side == other.side {
+			in.ended[j] = other.life
+		}
 		if j == in.index || !in.reaches(other) {
 			continue
 		}
@@ -216,11 +222,16 @@
 			continue
 		}
 		view.Known = append(view.Known, nodeName(j))
+		if in.lives[j] < in.ended[j] {
+			view.Ended++
+			continue
+		}
 		if in.c.fixed || in.c.now-at < in.patience[j] {
 			view.Live = append(view.Live, Peer{nodeName(j), in.lives[j]})
 			view.Alive++
 		}
 	}
+	view.Expected = in.c.expected
 	view.Alone = len(view.Known) == 1 && len(in.c.nodes) > 1
 	view.ChangedAt = in.clock()
 	if in.node.SetView(view) {
@@ -231,8 +242,11 @@
 
 // flush carries out what the node and the owner decided.
 func (in *instance) flush() {
-	for _, out := range in.owner.TakeReleases() {
-		in.send(out)
+	in.owner.Advance(in.clock())
+	for outgoing := in.owner.TakeReleases(); len(outgoing) > 0; outgoing = in.owner.TakeReleases() {
+		for _, out := range outgoing {
+			in.send(out)
+		}
 	}
 	for {
 		decisions, outgoing := in.node.Take()
@@ -253,6 +267,9 @@
 	in.wakeSeq++
 	seq := in.wakeSeq
 	at, ok := in.node.NextWake(in.clock())
+	if ownerAt, owns := in.owner.NextWake(); owns && (!ok || ownerAt < at) {
+		at, ok = ownerAt, true
+	}
 	if !ok {
 		return
 	}
@@ -274,6 +291,10 @@
 
 func (in *instance) send(out Outgoing) {
 	to := in.c.find(out.To)
+	if out.Query.Round > 0 {
+		in.query(to, out.Query)
+		return
+	}
 	if to == in {
 		in.node.HandleGrant(in.clock(), in.peer(), in.owner.Handle(in.clock(), in.peer(), out.Request))
 		return
@@ -290,6 +311,24 @@
 	})
 }
 
+// query sends the query of an owner, and its answer back.
+func (in *instance) query(to *instance, query Query) {
+	sender := in.peer()
+	if to == in {
+		in.node.Forfeit(sender, query.Parts)
+		in.owner.HandleAnswer(in.clock(), sender, Answer{Round: query.Round, Free: true})
+		return
+	}
+	in.transmit(to, func() {
+		answer := Answer{Round: query.Round, Free: to.owner.HandleQuery(to.clock(), query)}
+		if answer.Free {
+			to.node.Forfeit(sender, query.Parts)
+		}
+		from := to.peer()
+		to.transmit(in, func() { in.owner.HandleAnswer(in.clock(), from, answer) })
+	})
+}
+
 func (in *instance) transmit(to *instance, receive func()) {
 	if to == nil || in.side != to.side {
 		return
