node: benchmark of downloads with and without a slow caller, test of what a slow one holds

BenchmarkDownloads reports the times to the first and the last byte at the median and the 95th percentile, without and with one caller at 64 KB/s.

--- a/node/download_test.go
+++ b/node/download_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -112,21 +114,25 @@
 }
 
 // BenchmarkDownloads measures the memory of both nodes, the caller and the backend server, which are one process, and the
-// time to the first byte, for 64 downloads of 4 MiB at once. One more caller reads 64 KB/s.
+// times to the first byte, for 64 downloads of 4 MiB at once, without and with one more caller that reads 64 KB/s.
 func BenchmarkDownloads(b *testing.B) {
 	body := bytes.Repeat([]byte("care plan\n"), 4<<20/10)
 	address := startDownloads(b, body)
 	for _, path := range []string{"/whole/7", "/documents/7"} {
-		b.Run(path, func(b *testing.B) { benchmarkDownloads(b, address, path, body) })
+		for _, slow := range []int{0, 1} {
+			b.Run(fmt.Sprintf("%s/slow=%d", path[1:len(path)-2], slow), func(b *testing.B) { benchmarkDownloads(b, address, path, body, slow) })
+		}
 	}
 }
 
-func benchmarkDownloads(b *testing.B, address, path string, body []byte) {
+func benchmarkDownloads(b *testing.B, address, path string, body []byte, slow int) {
 	const downloads = 64
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go readSlowly(ctx, address, path)
 	runtime.GC()
+	for range slow {
+		go readSlowly(ctx, address, path)
+	}
 	var peak atomic.Uint64
 	go func() {
 		for ctx.Err() == nil {
@@ -136,22 +142,77 @@
 			time.Sleep(2 * time.Millisecond)
 		}
 	}()
-	var firstBytes atomic.Int64
+	var mu sync.Mutex
+	var firstBytes, ends []time.Duration
 	for b.Loop() {
 		var group sync.WaitGroup
 		for range downloads {
 			group.Go(func() {
+				began := time.Now()
 				firstByte, ok := download(address, path, body)
 				if !ok {
 					b.Error("a download is not complete")
 				}
-				firstBytes.Add(int64(firstByte))
+				mu.Lock()
+				defer mu.Unlock()
+				firstBytes, ends = append(firstBytes, firstByte), append(ends, time.Since(began))
 			})
 		}
 		group.Wait()
 	}
 	b.ReportMetric(float64(peak.Load())/(1<<20), "peak-MiB")
-	b.ReportMetric(float64(firstBytes.Load())/float64(downloads*b.N)/1e6, "first-byte-ms")
+	for name, times := range map[string][]time.Duration{"first-byte": firstBytes, "last-byte": ends} {
+		slices.Sort(times)
+		b.ReportMetric(times[len(times)/2].Seconds()*1e3, name+"-p50-ms")
+		b.ReportMetric(times[len(times)*95/100].Seconds()*1e3, name+"-p95-ms")
+	}
+}
+
+// maxSlowShare bounds the memory that a slow download may hold at both nodes together: at the ingress node what is delivered as
+// a whole, 768 KiB and two parts of 64 KiB, at the target a window of four parts and three parts on their way, and half as much
+// again for buffers of connections.
+const maxSlowShare = (768<<10 + 2*64<<10 + 7*64<<10) * 3 / 2
+
+// Guards against a caller that reads slowly and makes the nodes keep its whole response, and against one that holds up others.
+func TestSlowDownloadsHoldABoundedShare(t *testing.T) {
+	const slow = 8
+	body := bytes.Repeat([]byte("care plan "), 16<<20/10)
+	address := startDownloads(t, body)
+	complete := func() {
+		for range 4 {
+			if _, ok := download(address, "/documents/7", body); !ok {
+				t.Error("a download is not complete")
+			}
+		}
+	}
+	complete() // what stays in use after the first downloads is no share of the slow ones
+	before := heapInUse()
+	for range slow {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, "GET /documents/slow HTTP/1.1\r\nHost: h\r\n\r\n")
+		if _, err := io.ReadFull(conn, make([]byte, 64<<10)); err != nil { // and no more
+			t.Fatal(err)
+		}
+	}
+	complete()
+	share := (heapInUse() - before) / slow
+	t.Logf("%d KiB are held for each of %d slow downloads", share>>10, slow)
+	if share > maxSlowShare {
+		t.Errorf("%d KiB are held for each slow download, expected at most %d", share>>10, maxSlowShare>>10)
+	}
+}
+
+// heapInUse returns the bytes of live objects.
+func heapInUse() int64 {
+	runtime.GC()
+	runtime.GC() // the first one may leave what finalizers and pools keep
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return int64(memory.HeapAlloc)
 }
 
 // readSlowly downloads at 64 KB/s until ctx ends.
