reducer/rollout: latency is compared by upstream, with its speed and load

A good version on slower or busier upstreams was rolled back: the share of slow responses was compared with that of the old version on whatever upstreams it had. Now the speed of an upstream (0.5 to 1.7 times the mean) is taken into account: the odds that a version is 3 or more times slower are computed over all speeds, slow responses are counted against what is expected of their upstream, a slow route against the other routes of the same upstreams, and the load by responses for each slot and calls in progress, which RolloutReport carries (Slots, Busy).

--- a/reducer/rollout/decider.go
+++ b/reducer/rollout/decider.go
@@ -1,9 +1,6 @@
 package rollout
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // Member is a node that may send calls to the service, as the decider knows it.
 type Member struct {
@@ -132,7 +129,7 @@
 	d.nodes[node] = reported{revision: r.Revision, oldCalls: r.OldCalls, at: now}
 	u := d.held.Update
 	if isNew := r.Upstream == u.Version; r.Serves && (isNew || r.Upstream == u.From || r.Upstream == "") {
-		d.evidence.Add(now, zone, isNew, r.Routes)
+		d.evidence.Add(now, node, zone, isNew, r)
 	}
 }
 
@@ -189,11 +186,13 @@
 	u := d.held.Update
 	switch {
 	case f.Verdict == Bad:
-		return fmt.Sprintf("%s of the new version: %.0f of %d responses, %.1f expected", f.Kind, f.Observed, f.NewCalls, f.Expected)
+		return f.String()
 	case u.Final && f.Verdict == Doubtful && f.Score >= endScore && elapsed >= d.held.Duration-endMargin:
-		return fmt.Sprintf("%s of the new version may exceed those of the old one at the end of the order: %.0f of %d responses, %.1f expected", f.Kind, f.Observed, f.NewCalls, f.Expected)
+		return "in doubt at the end of the order: " + f.String()
+	case f.Verdict == Doubtful && f.Score >= endScore && f.Kind == kindSlower && elapsed >= d.firstStepEnd()+minStepTime:
+		return "in doubt at the end of the first step: " + f.String()
 	case f.Verdict == Doubtful && f.Score >= endScore && d.isExposureUsed(s):
-		return fmt.Sprintf("%s of the new version may exceed those of the old one, and it has had its share of requests: %.0f of %d responses, %.1f expected", f.Kind, f.Observed, f.NewCalls, f.Expected)
+		return "in doubt, and the version has had its share of requests: " + f.String()
 	case u.Final:
 		return ""
 	case elapsed >= d.held.Duration && !servesVersion(s.Members, u.Version):
@@ -221,7 +220,7 @@
 	if f.Verdict != Good || !servesVersion(s.Members, u.Version) || s.Now-d.stepSince < minStepTime {
 		return false
 	}
-	if u.Step == 0 && elapsed < time.Duration(firstStepPart*float64(d.held.Duration)) {
+	if u.Step == 0 && elapsed < d.firstStepEnd() {
 		return false
 	}
 	return !u.Guarded || d.allApplied(s)
@@ -280,11 +279,17 @@
 	return true
 }
 
+// firstStepEnd returns the planned end of the first step. A version whose latency is in doubt for longer is rolled back: all
+// its responses may be slow, and it gets none later than Settings.Rollback after the first 50.
+func (d *Decider) firstStepEnd() time.Duration {
+	return time.Duration(firstStepPart * float64(d.held.Duration))
+}
+
 // firstShare returns the share of the first step by the rate of the service.
 func (d *Decider) firstShare(s Situation, elapsed time.Duration) float64 {
 	collected := s.Now - d.since
 	newCalls, oldCalls := d.evidence.calls()
-	if collected < rateAfter || newCalls+oldCalls == 0 || elapsed > time.Duration(firstStepPart*float64(d.held.Duration)) {
+	if collected < rateAfter || newCalls+oldCalls == 0 || elapsed > d.firstStepEnd() {
 		return 0
 	}
 	rate := float64(newCalls+oldCalls) / collected.Seconds()
--- a/reducer/rollout/evidence.go
+++ b/reducer/rollout/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -19,7 +20,7 @@
 	doubtScore  = 3
 	doubtExcess = 1.5
 	// minFailureEffect and minSlowEffect are the least differences of the shares of failures and of slow responses that
-	// condemn. A difference in the load of the upstreams makes some responses slower.
+	// condemn. What remains of differences in speed and load between upstreams makes some responses slower.
 	minFailureEffect = 0.02
 	minSlowEffect    = 0.1
 	// lateScore and lateEffect are the thresholds against the earlier responses of the old version, which are used when it
@@ -56,27 +57,53 @@
 type Finding struct {
 	Verdict            Verdict
 	Route              string  // with the largest score; empty for all routes together
-	Kind               string  // "failures" or "slow"
+	Kind               string  // one of the kinds below
 	Score              float64 // standard deviations of the excess
-	Observed           float64 // bad responses of the new version
+	Observed           float64 // bad responses of the new version; of kindSlower its latency in multiples of the old one
 	Expected           float64 // if it were as the old one
 	NewCalls, OldCalls int
 }
 
+// What a finding is about: the share of responses that failed, the share that took long in comparison with what is
+// expected of the upstream, or a version whose responses all take longer than the speeds of upstreams explain.
+const (
+	kindFailures = "failures"
+	kindSlow     = "slow"
+	kindSlower   = "slower"
+)
+
+func (f Finding) String() string {
+	switch {
+	case f.Kind == kindSlower && f.Route != "":
+		return fmt.Sprintf("latency of the new version on route %s: %.1f times what its other routes let expect", f.Route, f.Observed)
+	case f.Kind == kindSlower:
+		return fmt.Sprintf("latency of the new version: %.1f times that of the old one in %d responses", f.Observed, f.NewCalls)
+	}
+	return fmt.Sprintf("%s of the new version: %.0f of %d responses, %.1f expected", f.Kind, f.Observed, f.NewCalls, f.Expected)
+}
+
 // count holds the responses of one version.
 type count struct {
 	calls, failures int
-	buckets         [LatencyBuckets]int
+	buckets         [LatencyBuckets]float64
 }
 
 func (c *count) add(r RouteCount) {
 	c.calls += r.Calls
 	c.failures += r.Failures
+}
+
+// addLatencies adds the latencies of a report, each by shift buckets shorter. Between two buckets they are divided.
+func (c *count) addLatencies(r RouteCount, shift float64) {
+	below, upper := int(math.Floor(shift)), shift-math.Floor(shift)
 	for i, n := range r.Buckets {
-		c.buckets[i] += int(n)
+		c.buckets[clampBucket(i-below)] += float64(n) * (1 - upper)
+		c.buckets[clampBucket(i-below-1)] += float64(n) * upper
 	}
 }
 
+func clampBucket(i int) int { return min(max(i, 0), LatencyBuckets-1) }
+
 func (c *count) merge(other *count) {
 	c.calls += other.calls
 	c.failures += other.failures
@@ -86,7 +113,7 @@
 }
 
 // timed returns the number of responses with a latency, and of those beyond a bucket.
-func (c *count) timed(beyond int) (all, slow int) {
+func (c *count) timed(beyond int) (all, slow float64) {
 	for i, n := range c.buckets {
 		all += n
 		if i >= beyond {
@@ -109,28 +136,41 @@
 	since    time.Duration // start of the current slot
 	current  int           // the current slot
 	old, new map[place]*count
+
+	upstreams  map[string]*profile   // by node
+	references map[string]*reference // by route
 }
 
 // NewEvidence returns the evidence of a roll-out of a duration from now on.
 func NewEvidence(now, duration time.Duration) *Evidence {
-	return &Evidence{slot: max(minSlot, duration/maxSlots), since: now, old: map[place]*count{}, new: map[place]*count{}}
+	return &Evidence{slot: max(minSlot, duration/maxSlots), since: now, old: map[place]*count{}, new: map[place]*count{},
+		upstreams: map[string]*profile{}, references: map[string]*reference{}}
 }
 
-// Add adds a report about an upstream of the new or the old version in a zone.
-func (e *Evidence) Add(now time.Duration, zone string, isNew bool, routes []RouteCount) {
+// Add adds the report of the node beside an upstream of the new or the old version in a zone.
+func (e *Evidence) Add(now time.Duration, node, zone string, isNew bool, r Report) {
 	if now-e.since >= e.slot {
 		e.BeginSlot(now)
 	}
+	upstream := e.upstreams[node]
+	if upstream == nil || upstream.isNew != isNew {
+		upstream = &profile{isNew: isNew, routes: map[string]*sample{}}
+		e.upstreams[node] = upstream
+	}
+	upstream.observeLoad(now, r)
 	counts := e.old
 	if isNew {
 		counts = e.new
 	}
-	for _, r := range routes {
-		at := place{r.Route, zone, e.current}
+	for _, c := range r.Routes {
+		at := place{c.Route, zone, e.current}
 		if counts[at] == nil {
 			counts[at] = &count{}
 		}
-		counts[at].add(r)
+		counts[at].add(c)
+		if shift, known := e.observe(upstream, c); known {
+			counts[at].addLatencies(c, shift)
+		}
 	}
 }
 
@@ -138,6 +178,9 @@
 func (e *Evidence) BeginSlot(now time.Duration) {
 	e.since = now
 	e.current++
+	for _, ref := range e.references {
+		ref.age()
+	}
 	e.forget(e.current - 2*maxSlots)
 }
 
@@ -173,13 +216,13 @@
 // the test of Cochran, Mantel and Haenszel does.
 type excess struct{ observed, expected, variance, calls float64 }
 
-func (x *excess) add(newBad, newAll, oldBad, oldAll int) {
-	n1, all, bad := float64(newAll), float64(newAll+oldAll), float64(newBad+oldBad)
-	if newAll == 0 || oldAll == 0 {
+func (x *excess) add(newBad, newAll, oldBad, oldAll float64) {
+	n1, all, bad := newAll, newAll+oldAll, newBad+oldBad
+	if newAll == 0 || oldAll == 0 || all <= 1 {
 		return
 	}
 	x.calls += n1
-	x.observed += float64(newBad)
+	x.observed += newBad
 	x.expected += n1 * bad / all
 	x.variance += n1 * (all - n1) * bad * (all - bad) / (all * all * (all - 1))
 }
@@ -227,9 +270,9 @@
 	if worst.NewCalls >= minJudgedCalls || worst.OldCalls == 0 {
 		worst.Verdict = Good
 	}
-	worst = worst.worseOf(all.find(""))
+	worst = worst.worseOf(all.find("")).worseOf(e.compareSpeeds())
 	for _, route := range slices.Sorted(maps.Keys(tests)) {
-		worst = worst.worseOf(tests[route].find(route))
+		worst = worst.worseOf(tests[route].find(route)).worseOf(e.compareRoute(route))
 	}
 	return worst
 }
@@ -275,20 +318,20 @@
 		}
 	}
 	oldTimed, oldSlow := beside.timed(beyond)
-	t.failures.add(c.failures, c.calls, beside.failures, beside.calls)
+	t.failures.add(float64(c.failures), float64(c.calls), float64(beside.failures), float64(beside.calls))
 	t.slow.add(slow, timed, oldSlow, oldTimed)
 	if fewBeside*beside.calls >= c.calls && beside.calls >= minBeside {
 		return t
 	}
 	oldTimed, oldSlow = total.timed(beyond)
-	t.lateFailures.add(c.failures, c.calls, total.failures, total.calls)
+	t.lateFailures.add(float64(c.failures), float64(c.calls), float64(total.failures), float64(total.calls))
 	t.lateSlow.add(slow, timed, oldSlow, oldTimed)
 	return t
 }
 
 func medianBucket(c *count) int {
 	all, _ := c.timed(0)
-	seen := 0
+	seen := 0.0
 	for i, n := range c.buckets {
 		if seen += n; 2*seen >= all && seen > 0 {
 			return i
@@ -305,8 +348,8 @@
 		x             *excess
 		score, effect float64
 	}{
-		{"failures", &t.failures, badScore, minFailureEffect}, {"slow", &t.slow, badScore, minSlowEffect},
-		{"failures", &t.lateFailures, lateScore, lateEffect}, {"slow", &t.lateSlow, lateScore, lateEffect},
+		{kindFailures, &t.failures, badScore, minFailureEffect}, {kindSlow, &t.slow, badScore, minSlowEffect},
+		{kindFailures, &t.lateFailures, lateScore, lateEffect}, {kindSlow, &t.lateSlow, lateScore, lateEffect},
 	} {
 		beyond := c.x.observed - c.x.expected
 		found := Finding{Route: route, Kind: c.kind, Score: c.x.score(), Observed: c.x.observed, Expected: c.x.expected}
--- a/reducer/rollout/rollout.go
+++ b/reducer/rollout/rollout.go
@@ -96,6 +96,8 @@
 	OldCalls int    // calls of this node that are open at upstreams of the old version
 	Upstream string // version of the upstream beside the node
 	Serves   bool   // the upstream beside the node is of the service
+	Slots    int    // of that upstream; 0 from a node of an earlier release
+	Busy     int    // sum over Routes of the calls in progress beside each response
 	Routes   []RouteCount
 }
 
--- a/reducer/rollout/sim_test.go
+++ b/reducer/rollout/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -14,6 +15,12 @@
 	// bad returns the part of the responses of the new version that fail, and the factor of its latency.
 	bad  func(route string, share float64, elapsed time.Duration) (failures, slowness float64)
 	seed uint64
+	// speeds are those of the upstreams, 1 where there is none, and fresh the number of upstreams of the new version.
+	speeds []float64
+	fresh  int
+	// cores is how many calls an upstream runs at its full speed; more share it. 0 for no bound.
+	cores int
+	work  time.Duration // mean service time at speed 1
 	// fault changes the run at each tick; it may be nil.
 	fault func(s *sim, now time.Duration)
 
@@ -24,7 +31,9 @@
 	random       *rand.Rand
 	views        [simNodes]View
 	counts       [simNodes]map[string]*RouteCount
-	exposed      int // calls sent to the new version until the end of the order
+	busy         [simNodes]int
+	ends         [simNodes][]time.Duration // of the calls in progress
+	exposed      int                       // calls sent to the new version until the end of the order
 	calls        int
 	bads         int
 	after50      int // calls sent to it later than 5 s after the 50th bad response
@@ -41,6 +50,7 @@
 	simTick     = 10 * time.Millisecond
 	simDelay    = 30 * time.Millisecond // of a message or a write
 	simUpstream = 20 * time.Millisecond
+	simSlots    = 12
 )
 
 var testSettings = Settings{Enabled: true, ExposureShare: 0.1, ExposureSlack: 50, Rollback: 5 * time.Second}
@@ -50,7 +60,7 @@
 func (s *sim) members() []Member {
 	var members []Member
 	for i := range simNodes {
-		m := Member{ID: fmt.Sprint("n", i), Version: "v1", Serves: true}
+		m := Member{ID: fmt.Sprint("n", i), Version: "v1", Serves: i < simNodes/2+s.fresh}
 		if i >= simNodes/2 {
 			m.Version = "v2"
 		}
@@ -64,6 +74,12 @@
 func (s *sim) run() *sim {
 	s.random = rand.New(rand.NewPCG(s.seed, 1))
 	s.lost = map[int]bool{}
+	if s.fresh == 0 {
+		s.fresh = simNodes / 2
+	}
+	if s.work == 0 {
+		s.work = simUpstream
+	}
 	for i := range s.counts {
 		s.counts[i] = map[string]*RouteCount{}
 		s.views[i].SetSynced()
@@ -98,7 +114,7 @@
 	}
 	upstream, failures, slowness := s.random.IntN(simNodes/2), s.base, 1.0
 	if isNew {
-		upstream += simNodes / 2
+		upstream = simNodes/2 + upstream%s.fresh
 		extra, slow := s.bad(route, s.decider.Held().Update.Share, now)
 		failures, slowness = failures+extra, slow
 	}
@@ -124,7 +140,7 @@
 	if failed {
 		c.Failures++
 	} else {
-		c.Buckets[BucketOf(time.Duration(s.random.ExpFloat64()*slowness*float64(simUpstream)))]++
+		c.Buckets[BucketOf(s.latency(now, upstream, slowness))]++
 	}
 	if isNew && (failed && failures > s.base || slowness > 1) {
 		if s.bads++; s.bads == 50 {
@@ -133,6 +149,22 @@
 	}
 }
 
+// latency returns that of a call which begins at an upstream.
+func (s *sim) latency(now time.Duration, upstream int, slowness float64) time.Duration {
+	latency := s.random.ExpFloat64() * slowness * float64(s.work)
+	if s.speeds != nil {
+		latency /= s.speeds[upstream]
+	}
+	if s.cores == 0 {
+		return time.Duration(latency)
+	}
+	ends := slices.DeleteFunc(s.ends[upstream], func(end time.Duration) bool { return end <= now })
+	s.busy[upstream] += len(ends)
+	latency *= max(1, float64(len(ends)+1)/float64(s.cores))
+	s.ends[upstream] = append(ends, now+time.Duration(latency))
+	return time.Duration(latency)
+}
+
 // control delivers reports, decisions, writes and repetitions.
 func (s *sim) control(now time.Duration) {
 	interval := ReportInterval
@@ -185,7 +217,8 @@
 }
 
 func (s *sim) report(now time.Duration, i int) {
-	r := Report{Service: "s", Revision: s.views[i].Update("s").Revision, Upstream: s.members()[i].Version, Serves: true}
+	r := Report{Service: "s", Revision: s.views[i].Update("s").Revision, Upstream: s.members()[i].Version, Serves: s.members()[i].Serves}
+	r.Slots, r.Busy, s.busy[i] = simSlots, s.busy[i], 0
 	for _, route := range simRoutes {
 		if c := s.counts[i][route]; c != nil {
 			r.Routes = append(r.Routes, *c)
--- a/reducer/rollout_state.go
+++ b/reducer/rollout_state.go
@@ -30,6 +30,7 @@
 	stored map[string]rollout.Stored // by service, as read from the store
 	leads  map[string]*rolloutLead   // by service
 	counts map[string]*rollout.RouteCount
+	busy   int // sum over the counted responses of the calls that ran beside each at the backend server
 	// callFailedAt is when a call that entered at this node for another service last failed; 0 for never.
 	callFailedAt time.Duration
 	heardAt      map[string]time.Duration // when the state of a service was last repeated
@@ -270,6 +271,7 @@
 		r.counts[route] = c
 	}
 	c.Calls++
+	r.busy += s.target.running
 	switch {
 	case in.Result == BackendFailed, in.Result == BackendNotSent, in.Result == BackendAnswered && in.Status >= failureStatus:
 		c.Failures++
@@ -330,6 +332,8 @@
 		for _, route := range sortedKeys(r.counts) {
 			report.Routes = append(report.Routes, *r.counts[route])
 		}
+		report.Slots, report.Busy = s.backend.declaredSlots, r.busy
+		r.busy = 0
 		clear(r.counts)
 	}
 	decider := PeerRef{Node: NodeID(u.Decider.ID), Address: u.Decider.Address, Incarnation: Incarnation(u.Decider.Incarnation)}
--- a/runner/peer/wire_rollout.go
+++ b/runner/peer/wire_rollout.go
@@ -32,6 +32,7 @@
 	Revision          uint64
 	OldCalls          int
 	Serves            bool
+	Slots, Busy       int // 0 from a node of an earlier release
 	Route             []string
 	Calls, Failures   []int
 	Latency           []uint16 // rollout.LatencyBuckets for each route
@@ -55,7 +56,7 @@
 		return &ControlArgs{RolloutUpdates: out}
 	case reducer.RolloutReport:
 		r := m.Report
-		out := &RolloutReport{Service: r.Service, Upstream: r.Upstream, Revision: r.Revision, OldCalls: r.OldCalls, Serves: r.Serves}
+		out := &RolloutReport{Service: r.Service, Upstream: r.Upstream, Revision: r.Revision, OldCalls: r.OldCalls, Serves: r.Serves, Slots: r.Slots, Busy: r.Busy}
 		for _, route := range r.Routes {
 			out.Route = append(out.Route, route.Route)
 			out.Calls, out.Failures = append(out.Calls, route.Calls), append(out.Failures, route.Failures)
@@ -116,9 +117,9 @@
 
 // toReport returns the report, or false if no node can have sent it.
 func (r *RolloutReport) toReport() (rollout.Report, bool) {
-	out := rollout.Report{Service: r.Service, Upstream: r.Upstream, Revision: r.Revision, OldCalls: r.OldCalls, Serves: r.Serves}
+	out := rollout.Report{Service: r.Service, Upstream: r.Upstream, Revision: r.Revision, OldCalls: r.OldCalls, Serves: r.Serves, Slots: r.Slots, Busy: r.Busy}
 	n := len(r.Route)
-	if len(r.Service) > maxNameBytes || len(r.Upstream) > maxNameBytes || r.OldCalls < 0 || len(r.Calls) != n || len(r.Failures) != n || len(r.Latency) != n*rollout.LatencyBuckets {
+	if len(r.Service) > maxNameBytes || len(r.Upstream) > maxNameBytes || r.OldCalls < 0 || r.Slots < 0 || r.Busy < 0 || len(r.Calls) != n || len(r.Failures) != n || len(r.Latency) != n*rollout.LatencyBuckets {
 		return rollout.Report{}, false
 	}
 	for i, route := range r.Route {
--- a/runner/peer/wire_rollout_test.go
+++ b/runner/peer/wire_rollout_test.go
@@ -18,7 +18,7 @@
 	count.Buckets[3], count.Buckets[rollout.LatencyBuckets-1] = 2, 1
 	for _, message := range []reducer.Message{
 		reducer.RolloutUpdates{Updates: []rollout.Update{update}, Complete: true},
-		reducer.RolloutReport{Report: rollout.Report{Service: "desk", Revision: 9, OldCalls: 2, Upstream: "v2", Serves: true, Routes: []rollout.RouteCount{count}}},
+		reducer.RolloutReport{Report: rollout.Report{Service: "desk", Revision: 9, OldCalls: 2, Upstream: "v2", Serves: true, Slots: 6, Busy: 9, Routes: []rollout.RouteCount{count}}},
 		reducer.RolloutFetch{},
 	} {
 		if got, err := wireControl(message).toMessage(); err != nil || !reflect.DeepEqual(got, message) {
