reducer/rollout: fewer calls go to a new version while no one decides

Nodes that have not heard of the state for 1.2 s use the share of the first step, and candidates try the lease every 250 ms while its holder is silent.

--- a/reducer/rollout/decider.go
+++ b/reducer/rollout/decider.go
@@ -46,6 +46,9 @@
 	nodes     map[string]reported
 	settings  Settings
 	halted    string // why the roll-out has been halted; empty if it has not
+	// mustStepBack is set in a decider that continues the final step of another: it has no responses of the old version to
+	// compare with, and would find any version good.
+	mustStepBack bool
 }
 
 // Graces for the end of a roll-out.
@@ -73,6 +76,7 @@
 func NewDecider(settings Settings, held Stored, self Node, now time.Duration) *Decider {
 	d := &Decider{settings: settings, held: held, self: self, since: now, stepSince: now, nodes: map[string]reported{}}
 	d.evidence = NewEvidence(now, held.Duration)
+	d.mustStepBack = held.Update.Final
 	if held.Update.Halted {
 		d.halted = "halted by an earlier decider"
 	}
@@ -122,6 +126,7 @@
 		d.stepCalls, _ = d.evidence.calls()
 	}
 	d.held = held
+	d.mustStepBack = d.mustStepBack && held.Update.Final
 }
 
 // Observe notes a report of a node.
@@ -157,6 +162,8 @@
 	}
 	u := d.held.Update
 	switch {
+	case d.mustStepBack:
+		return Decision{Next: d.next(func(u *Update) { *u = u.atStep(guardedStep) }), Finding: finding}
 	case u.Final:
 		if d.isProven(s, finding, elapsed) && d.oldIsUnused(s) {
 			next := d.next(func(u *Update) { u.State, u.Share = Succeeded, 1 })
--- a/reducer/rollout/sim_test.go
+++ b/reducer/rollout/sim_test.go
@@ -105,7 +105,7 @@
 	n := s.random.IntN(simNodes)
 	view, route := &s.views[n], simRoutes[s.random.IntN(len(simRoutes))]
 	old := view.Class("s", "v1", simUpstreams, now) == InUse
-	isNew := view.Class("s", "v2", simUpstreams, now) == New && (view.Draw("s", s.random.Uint64()) || !old)
+	isNew := view.Class("s", "v2", simUpstreams, now) == New && (view.Draw("s", s.random.Uint64(), now) || !old)
 	if view.Update("s").State == Succeeded {
 		isNew, old = true, view.Class("s", "v1", simUpstreams, now) != Forbidden
 		if old {
--- a/reducer/rollout/view.go
+++ b/reducer/rollout/view.go
@@ -22,6 +22,10 @@
 // upstream that has run longest as the one in use. Without states it could use a version that was replaced.
 const syncTimeout = 5 * time.Second
 
+// silentShareAfter is the time without a repetition of the state after which a node reduces the share of the new version: two
+// repetitions were lost. Three more seconds with 40 of 100 calls would use more than the whole exposure of 12 s.
+const silentShareAfter = 1200 * time.Millisecond
+
 // Upstream is what a node knows of an upstream of a service.
 type Upstream struct {
 	Version string
@@ -201,14 +205,20 @@
 const goldenRatioStep = 0x9e3779b97f4a7c15
 
 // Draw reports whether the next call of a service goes to the new version. The first draw starts at a random place, so
-// that nodes that start together do not send their first calls to the new version at once.
-func (v *View) Draw(name string, random uint64) bool {
+// that nodes that start together do not send their first calls to the new version at once. While the state is not repeated,
+// nobody may look at the responses, and the share is that of the first step, as long as the old version may be used. (Keys
+// keep theirs: they would change owners.)
+func (v *View) Draw(name string, random uint64, now time.Duration) bool {
 	s := v.service(name)
 	if !s.drawn {
 		s.position, s.drawn = random, true
 	}
 	s.position += goldenRatioStep
-	return isWithin(s.position, s.share())
+	share := s.share()
+	if now-s.heard >= silentShareAfter && !s.update.Final && !s.isLapsed(now) {
+		share = min(share, firstShare)
+	}
+	return isWithin(s.position, share)
 }
 
 // KeyIsNew reports whether calls with an idempotency key go to the new version, by a hash of the key: all nodes agree.
--- a/reducer/rollout/view_test.go
+++ b/reducer/rollout/view_test.go
@@ -100,7 +100,7 @@
 			t.Errorf("%+v: applied %v", c.update, got)
 		}
 	}
-	if v.Class("s", "v2", twoVersions, 0) != Forbidden || v.Draw("s", 1) || !v.Update("s").Halted {
+	if v.Class("s", "v2", twoVersions, 0) != Forbidden || v.Draw("s", 1, 0) || !v.Update("s").Halted {
 		t.Error("the halted version is used")
 	}
 	v.Apply(Update{Service: "s", Version: "v2", From: "v1", State: Running, Revision: 7, Order: 2}, 0)
@@ -115,7 +115,7 @@
 		v := syncedView(Update{State: Running, Revision: 1, Share: share})
 		drawn := 0
 		for range 1000 {
-			if v.Draw("s", 12345) {
+			if v.Draw("s", 12345, 0) {
 				drawn++
 			}
 		}
--- a/reducer/rollout_choose.go
+++ b/reducer/rollout_choose.go
@@ -75,7 +75,7 @@
 	if !s.cfg.Rollouts.Enabled || s.rollouts.view.Update(service).State != rollout.Running {
 		return upstreams
 	}
-	return s.keepVersion(service, upstreams, s.rollouts.view.Draw(service, s.rand))
+	return s.keepVersion(service, upstreams, s.rollouts.view.Draw(service, s.rand, s.now))
 }
 
 // keepVersion keeps the upstreams of the new version, if there are any, or those of the version in use.
--- a/reducer/rollout_failures_test.go
+++ b/reducer/rollout_failures_test.go
@@ -34,3 +34,17 @@
 		t.Errorf("counted %+v, expected one failure", c)
 	}
 }
+
+// Guards against a takeover that takes a second longer than the lease of a decider that has failed.
+func TestLeaseIsTriedSoonWhileTheDeciderIsSilent(t *testing.T) {
+	for silence, want := range map[time.Duration]time.Duration{500 * time.Millisecond: rollout.LeaseInterval, stateSilence: leaseRetryInterval} {
+		s := newWorkspaceNode(t, "")
+		s.rollouts.leads = map[string]*rolloutLead{"v": {holding: true}}
+		s.rollouts.heardAt = map[string]time.Duration{"v": 10 * time.Second}
+		s.now = 10*time.Second + silence
+		s.handleRolloutLeaseHeld(RolloutLeaseHeld{Service: "v", Result: StoreConflict})
+		if got := s.rollouts.leads["v"].holdAt - s.now; got != want {
+			t.Errorf("after a silence of %v the lease is tried in %v, expected %v", silence, got, want)
+		}
+	}
+}
--- a/reducer/rollout_lead.go
+++ b/reducer/rollout_lead.go
@@ -10,7 +10,8 @@
 const (
 	// endRepeats is how often the end of a roll-out is repeated, RefreshInterval apart, before the decider's lease ends.
 	endRepeats = 4
-	// leaseRetryInterval is how soon the lease is tried again after the store did not answer.
+	// leaseRetryInterval is how soon the lease is tried again after the store did not answer, or while its holder is silent:
+	// in the guarded and the final step all calls go to the new version after PermissionTTL without a decider.
 	leaseRetryInterval = 250 * time.Millisecond
 	// probeDeadFor bounds how long a node that counts as dead is asked whether it has ended: the decider waits for it no
 	// longer than the longest timeout of a route and some seconds.
@@ -133,6 +134,9 @@
 		}
 	case StoreConflict:
 		s.loseLead(lead)
+		if s.now-s.rollouts.heardAt[in.Service] >= stateSilence { // the decider may have failed
+			lead.holdAt = s.now + leaseRetryInterval
+		}
 	case StoreNoLease:
 		s.loseLead(lead)
 		lead.holdAt = s.now
