--- a/internal/pump/faults.go
+++ b/internal/pump/faults.go
@@ -259,6 +259,7 @@
 
 // Heal ends all cuts, pauses and faults of the store, and delivers the stalled calls.
 func (w *World) Heal() {
+	w.History.Rollouts.UnstableUntil = w.Now
 	for _, key := range w.linkKeys() {
 		l := w.links[key]
 		l.extraDelay = 0
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -1,6 +1,7 @@
 package pump
 
 import (
+	"cmp"
 	"fmt"
 	"sort"
 	"time"
@@ -195,8 +196,9 @@
 		n.post(LinkDelay, reducer.BackendRequestDone{Call: e.Call, Result: reducer.BackendShed, Elapsed: LinkDelay})
 		return
 	}
+	g.execution = len(n.world.History.Executions)
 	n.world.History.Executions = append(n.world.History.Executions, invariant.Execution{
-		Request: g.request, Node: n.ID, At: n.world.Now,
+		Request: g.request, Node: n.ID, At: n.world.Now, From: cmp.Or(g.forwarder, n.ID), Service: n.Service, Version: n.Backend.Version,
 	})
 	if n.world.OnExecution != nil {
 		n.world.OnExecution(n)
@@ -205,7 +207,8 @@
 	n.Backend.Running++
 	n.Backend.MaxRunning = max(n.Backend.MaxRunning, n.Backend.Running)
 	startedAt := n.world.Now
-	n.after(n.Backend.ServiceTime, func() {
+	g.bad = n.Backend.isBad()
+	n.after(n.Backend.serviceTime(), func() {
 		if !g.running {
 			return
 		}
@@ -238,9 +241,12 @@
 		return
 	}
 	status := 200
-	if n.Backend.FailShare > 0 && n.world.rng.Float64() < n.Backend.FailShare {
+	if g.bad && n.Backend.FailShare > 0 && n.world.rng.Float64() < n.Backend.FailShare {
 		status = 500
 	}
+	if status == 500 || g.bad && n.Backend.SlowBy > 1 {
+		n.world.History.Executions[g.execution].BadAt = n.world.Now
+	}
 	n.post(0, reducer.BackendRequestDone{Call: call, Result: result, Status: status, Bytes: 1, KeptBytes: 1, Elapsed: elapsed})
 }
 
--- a/internal/pump/rollouts.go
+++ b/internal/pump/rollouts.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/internal/invariant"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 )
@@ -31,6 +32,8 @@
 		s.rollouts = rollouts{map[string]rollout.Order{}, map[string]rollout.Stored{}, map[string]decider{}, map[string]time.Duration{}}
 	}
 	s.rollouts.orders[order.Service] = order
+	history := &s.world.History.Rollouts
+	history.Orders = append(history.Orders, invariant.RolloutOrder{Service: order.Service, Version: order.Version, At: s.world.Now, Duration: order.Duration})
 }
 
 // Withdraw removes an order.
@@ -127,6 +130,12 @@
 	if state.Update.State != rollout.Running {
 		s.rollouts.ended[service] = s.world.Now
 	}
+	if s.rollouts.states[service].Update.State == rollout.Running && state.Update.State != rollout.Running {
+		history := &s.world.History.Rollouts
+		history.Ends = append(history.Ends, invariant.RolloutEnd{
+			Service: service, Version: state.Update.Version, From: state.Update.From, Succeeded: state.Update.State == rollout.Succeeded, At: s.world.Now,
+		})
+	}
 	s.rollouts.states[service] = state
 	written.Result, written.Revision = reducer.StoreOK, s.revision
 	return written
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -103,6 +103,18 @@
 	Endless      bool // runs requests and answers with a body that does not end
 	Version      string
 	FailShare    float64 // part of the requests that it answers with status 500
+	SlowBy       int     // how many times slower it is; 0 for not at all
+	BadAbove     int     // requests at one time above which FailShare and SlowBy hold
+}
+
+// isBad reports whether FailShare and SlowBy hold now.
+func (b *Backend) isBad() bool { return b.Running > b.BadAbove || b.BadAbove == 0 }
+
+func (b *Backend) serviceTime() time.Duration {
+	if b.SlowBy > 1 && b.isBad() {
+		return b.ServiceTime * time.Duration(b.SlowBy)
+	}
+	return b.ServiceTime
 }
 
 // goroutine stands for a traffic goroutine of a node. It holds the data of one call or exchange.
@@ -119,6 +131,8 @@
 	onAcknowledged func()
 	responses      map[int]invariant.Request // by attempt
 	localResponse  invariant.Request
+	execution      int  // index in History.Executions
+	bad            bool // Backend.FailShare and SlowBy hold for the execution
 	running        bool
 	streaming      bool // the first part of the response has arrived
 }
