--- a/reducer/rollout/decider.go
+++ b/reducer/rollout/decider.go
@@ -1,9 +1,6 @@
 package rollout
 
-import (
-	"fmt"
-	"time"
-)
+import "time"
 
 // Member is a node that may send calls to the service, as the decider knows it.
 type Member struct {
@@ -49,6 +46,9 @@
 	nodes     map[string]reported
 	settings  Settings
 	halted    string // why the roll-out has been halted; empty if it has not
+	// mustStepBack is set in a decider that continues the final step of another: it has no responses of the old version to
+	// compare with, and would find any version good.
+	mustStepBack bool
 }
 
 // Graces for the end of a roll-out.
@@ -76,6 +76,7 @@
 func NewDecider(settings Settings, held Stored, self Node, now time.Duration) *Decider {
 	d := &Decider{settings: settings, held: held, self: self, since: now, stepSince: now, nodes: map[string]reported{}}
 	d.evidence = NewEvidence(now, held.Duration)
+	d.mustStepBack = held.Update.Final
 	if held.Update.Halted {
 		d.halted = "halted by an earlier decider"
 	}
@@ -125,6 +126,7 @@
 		d.stepCalls, _ = d.evidence.calls()
 	}
 	d.held = held
+	d.mustStepBack = d.mustStepBack && held.Update.Final
 }
 
 // Observe notes a report of a node.
@@ -132,7 +134,7 @@
 	d.nodes[node] = reported{revision: r.Revision, oldCalls: r.OldCalls, at: now}
 	u := d.held.Update
 	if isNew := r.Upstream == u.Version; r.Serves && (isNew || r.Upstream == u.From || r.Upstream == "") {
-		d.evidence.Add(now, zone, isNew, r.Routes)
+		d.evidence.Add(now, node, zone, isNew, r)
 	}
 }
 
@@ -160,6 +162,8 @@
 	}
 	u := d.held.Update
 	switch {
+	case d.mustStepBack:
+		return Decision{Next: d.next(func(u *Update) { *u = u.atStep(guardedStep) }), Finding: finding}
 	case u.Final:
 		if d.isProven(s, finding, elapsed) && d.oldIsUnused(s) {
 			next := d.next(func(u *Update) { u.State, u.Share = Succeeded, 1 })
@@ -189,11 +193,13 @@
 	u := d.held.Update
 	switch {
 	case f.Verdict == Bad:
-		return fmt.Sprintf("%s of the new version: %.0f of %d responses, %.1f expected", f.Kind, f.Observed, f.NewCalls, f.Expected)
+		return f.String()
 	case u.Final && f.Verdict == Doubtful && f.Score >= endScore && elapsed >= d.held.Duration-endMargin:
-		return fmt.Sprintf("%s of the new version may exceed those of the old one at the end of the order: %.0f of %d responses, %.1f expected", f.Kind, f.Observed, f.NewCalls, f.Expected)
+		return "in doubt at the end of the order: " + f.String()
+	case f.Verdict == Doubtful && f.Score >= endScore && f.Kind == kindSlower && elapsed >= d.firstStepEnd()+minStepTime:
+		return "in doubt at the end of the first step: " + f.String()
 	case f.Verdict == Doubtful && f.Score >= endScore && d.isExposureUsed(s):
-		return fmt.Sprintf("%s of the new version may exceed those of the old one, and it has had its share of requests: %.0f of %d responses, %.1f expected", f.Kind, f.Observed, f.NewCalls, f.Expected)
+		return "in doubt, and the version has had its share of requests: " + f.String()
 	case u.Final:
 		return ""
 	case elapsed >= d.held.Duration && !servesVersion(s.Members, u.Version):
@@ -221,7 +227,7 @@
 	if f.Verdict != Good || !servesVersion(s.Members, u.Version) || s.Now-d.stepSince < minStepTime {
 		return false
 	}
-	if u.Step == 0 && elapsed < time.Duration(firstStepPart*float64(d.held.Duration)) {
+	if u.Step == 0 && elapsed < d.firstStepEnd() {
 		return false
 	}
 	return !u.Guarded || d.allApplied(s)
@@ -280,11 +286,17 @@
 	return true
 }
 
+// firstStepEnd returns the planned end of the first step. A version whose latency is in doubt for longer is rolled back: all
+// its responses may be slow, and it gets none later than Settings.Rollback after the first 50.
+func (d *Decider) firstStepEnd() time.Duration {
+	return time.Duration(firstStepPart * float64(d.held.Duration))
+}
+
 // firstShare returns the share of the first step by the rate of the service.
 func (d *Decider) firstShare(s Situation, elapsed time.Duration) float64 {
 	collected := s.Now - d.since
 	newCalls, oldCalls := d.evidence.calls()
-	if collected < rateAfter || newCalls+oldCalls == 0 || elapsed > time.Duration(firstStepPart*float64(d.held.Duration)) {
+	if collected < rateAfter || newCalls+oldCalls == 0 || elapsed > d.firstStepEnd() {
 		return 0
 	}
 	rate := float64(newCalls+oldCalls) / collected.Seconds()
--- a/reducer/rollout/rollout.go
+++ b/reducer/rollout/rollout.go
@@ -96,6 +96,8 @@
 	OldCalls int    // calls of this node that are open at upstreams of the old version
 	Upstream string // version of the upstream beside the node
 	Serves   bool   // the upstream beside the node is of the service
+	Slots    int    // of that upstream; 0 from a node of an earlier release
+	Busy     int    // sum over Routes of the calls in progress beside each response
 	Routes   []RouteCount
 }
 
@@ -132,17 +134,15 @@
 
 const (
 	// PermissionTTL is how long a node may use the old version of a guarded roll-out after it last heard of the state. It
-	// covers the time in which another node takes over from a decider that was killed: LeaseTTL, CandidateInterval,
-	// RefreshInterval and half a second for a read and a write of the store. Without it the calls that are not for the new
-	// version would have no upstream meanwhile.
+	// covers the time in which another node takes over from a decider that was killed: LeaseTTL, RefreshInterval, and a
+	// second for the lease and the state. Without it the calls that are not for the new version would have no upstream
+	// meanwhile.
 	PermissionTTL = 4500 * time.Millisecond
 	// RefreshInterval is how often the decider repeats the state of a running roll-out.
 	RefreshInterval = 500 * time.Millisecond
-	// LeaseTTL is how long a decider that has failed keeps others from deciding; LeaseInterval is how often it is renewed, and
-	// CandidateInterval how often the other readers try to acquire it.
-	LeaseTTL          = 3 * time.Second
-	LeaseInterval     = time.Second
-	CandidateInterval = 500 * time.Millisecond
+	// LeaseTTL is how long a decider that has failed keeps others from deciding; LeaseInterval is how often it is renewed.
+	LeaseTTL      = 3 * time.Second
+	LeaseInterval = time.Second
 	// ReportInterval is how often nodes report in the first step, and FastReportInterval in the later ones, where more
 	// requests reach a bad version until it is found.
 	ReportInterval     = 500 * time.Millisecond
