--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -74,7 +74,7 @@
 }
 
 // load sends a request to each of the nodes in turn, one every gap, until stop is closed. It returns when all have ended.
-func (c *client) load(nodes []*node, path string, gap, deadline time.Duration, stop <-chan struct{}) {
+func (c *client) load(nodes []*node, method, path string, gap, deadline time.Duration, stop <-chan struct{}) {
 	var waiting sync.WaitGroup
 	ticker := time.NewTicker(gap)
 	defer ticker.Stop()
@@ -86,6 +86,6 @@
 		case <-ticker.C:
 		}
 		n := nodes[i%len(nodes)]
-		waiting.Go(func() { c.send(n, http.MethodGet, path, deadline) })
+		waiting.Go(func() { c.send(n, method, path, deadline) })
 	}
 }
--- a/review/rig2/late_reports.go
+++ b/review/rig2/late_reports.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -70,7 +71,7 @@
 		return nil, err
 	}
 	go func() {
-		s.client.load(s.calm, "/lohu930/2f", 40*time.Millisecond, 800*time.Millisecond, s.stop)
+		s.client.load(s.calm, http.MethodGet, "/lohu930/2f", 40*time.Millisecond, 800*time.Millisecond, s.stop)
 		close(s.ended)
 	}()
 	// The late reports have been sent and the next one has not.
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -32,6 +32,7 @@
 
 var cases = map[string]func(*rig) (broken bool, err error){
 	"late-reports": lateReports,
+	"lost-answers": lostAnswers,
 	"turned-away":  turnedAway,
 	"unkept":       unkept,
 	"lapsed":       lapsed,
--- a/review/rig2/turned_away.go
+++ b/review/rig2/turned_away.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -56,7 +57,7 @@
 	r.record.line("the store confirms version 00000008, which moves /lohu930/ from counter-desk to approval-office")
 	c, stop, ended := newClient(r.record, host), make(chan struct{}), make(chan struct{})
 	go func() {
-		c.load(served, "/lohu930/2f", 50*time.Millisecond, 800*time.Millisecond, stop)
+		c.load(served, http.MethodGet, "/lohu930/2f", 50*time.Millisecond, 800*time.Millisecond, stop)
 		close(ended)
 	}()
 	time.Sleep(time.Until(began.Add(turnedAwayFor)))
--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -35,11 +35,13 @@
 	sequence int
 	runs     []run
 	silent   bool // no more status reports
+	// loses, if set, tells whether the answer to a request that ran is lost: nothing comes on its connection any more.
+	loses func() bool
 	// hold, if set, keeps a status report on its way until the channel is closed.
 	hold func(sequence int) <-chan struct{}
 }
 
-const upstreamSlots = 12
+const upstreamSlots = 6
 
 func newUpstream(rec *record, n *node, work time.Duration) (*upstream, error) {
 	u := &upstream{
@@ -84,6 +86,16 @@
 	case <-r.Context().Done():
 		return
 	}
+	if u.loses != nil && u.loses() {
+		u.record.line("%s has run %s, and its answer is lost", u.id, id)
+		<-u.slots
+		select { // the connection stays open
+		case <-r.Context().Done():
+		case <-u.stop:
+		}
+		u.slots <- struct{}{} // for the deferred release
+		return
+	}
 	w.Header().Set("Attempt-Id", id)
 	w.Header().Set("Server-Seal", "seal-"+u.id+"-"+id)
 	fmt.Fprintf(w, "%s %s %d", u.id, id, len(body))
