review: late status reports arrive as their senders left them

Cause: in the scripts of cases 7, 9 and 10 a late report was a new call that waited for its answer; its sender has given it up long before. Done: the node sees the report and then the end of the connection.

--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -149,6 +149,10 @@
 			case <-u.stop:
 				return
 			}
+			// Its sender has given it up after a second: the node sees the report and then the end of the connection.
+			err := u.postAndClose("/v1/register/"+u.id, body)
+			u.record.line("%s: late report with sequence %d arrives, error %v", u.id, sequence, err)
+			return
 		}
 	}
 	status := u.post("/v1/register/"+u.id, body)
@@ -166,6 +170,17 @@
 	return status == "200 OK"
 }
 
+// postAndClose sends a call and closes the connection without waiting for the answer.
+func (u *upstream) postAndClose(path string, body []byte) error {
+	conn, err := net.Dial("tcp", u.node.control)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", path, u.node.control, len(body), body)
+	return err
+}
+
 func (u *upstream) post(path string, body []byte) string {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Post("http://"+u.node.control+path, "application/json", bytes.NewReader(body))
