review: the scripts stay inside the limits and take the sites' own settings

Done: case 8 ends after 8.9 s at most; slots, memory and retry slack are those of the site that the claim names.

--- a/review/rig2/lost_answers.go
+++ b/review/rig2/lost_answers.go
@@ -23,6 +23,7 @@
 // lostAnswers: all processes are killed and start again; then, for 13 s, six in ten upstreams at a time lose three in ten of
 // their answers. The rule is RECOVER.
 func lostAnswers(r *rig) (bool, error) {
+	r.site = hmlMesh
 	r.store.operatorPut("op/config", configText(7, routeText("r-1", "/lohu930/", "counter-desk")+","+postRoute))
 	losing := make([]atomic.Bool, 10)
 	for i := range losing {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -27,6 +27,7 @@
 	store     *store
 	nodes     []*node
 	upstreams []*upstream
+	site      site
 	trouble   bool
 }
 
@@ -55,7 +56,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNoRun
 	}
-	r := &rig{record: rec, temp: temp, store: newStore(), trouble: os.Getenv("TROUBLE") != "0"}
+	r := &rig{record: rec, temp: temp, store: newStore(), site: ljosaskodunHQ, trouble: os.Getenv("TROUBLE") != "0"}
 	defer r.close()
 	type result struct {
 		broken bool
@@ -109,11 +110,11 @@
 
 // addNode adds a machine with an upstream and starts its node.
 func (r *rig) addNode(name, zone, service string, work time.Duration) error {
-	n, err := newNode(r.temp, name, zone, service, r.store)
+	n, err := newNode(r.temp, name, zone, service, r.site, r.store)
 	if err != nil {
 		return err
 	}
-	u, err := newUpstream(r.record, n, work)
+	u, err := newUpstream(r.record, n, r.site.slots, work)
 	if err != nil {
 		return err
 	}
--- a/review/rig2/node.go
+++ b/review/rig2/node.go
@@ -16,7 +16,7 @@
 // nodeProgram is where the build of the deploy file puts the node.
 const nodeProgram = "target/rosemaryhatch-node"
 
-// settingsText is deploy/node.ini.tmpl filled in for a machine of ljosaskodun-hq.
+// settingsText is deploy/node.ini.tmpl filled in for a machine of a small site.
 const settingsText = `[node]
 id = %[1]s
 zone = %[2]s
@@ -45,19 +45,27 @@
 
 [retries]
 ratio = 0.2
-slack = 62
+slack = %[10]d
 
 [instance]
 link_mbps = 1000.0
 
 [runtime]
-memory_mb = 134
+memory_mb = %[11]d
 processors = 1
 
 [shutdown]
 timeout = 5s
 `
 
+// site holds what differs between the machines of the two small sites.
+type site struct{ slots, memoryMB, slack int }
+
+var (
+	ljosaskodunHQ = site{slots: 12, memoryMB: 134, slack: 62}
+	hmlMesh       = site{slots: 6, memoryMB: 284, slack: 56}
+)
+
 // node is a machine: a process of rosemaryhatch-node and the addresses that it serves.
 type node struct {
 	name, zone, service                       string
@@ -92,7 +100,7 @@
 var machines int
 
 // newNode draws the addresses of a machine, writes its settings into dir and does not start it.
-func newNode(dir, name, zone, service string, s *store) (*node, error) {
+func newNode(dir, name, zone, service string, at site, s *store) (*node, error) {
 	n := &node{name: name, zone: zone, service: service, settings: filepath.Join(dir, name+".ini"), log: filepath.Join(dir, name+".log")}
 	machines++
 	for _, address := range []*string{&n.callers, &n.peers, &n.ready, &n.control, &n.appServer} {
@@ -105,7 +113,7 @@
 	if n.door, err = s.open(name); err != nil {
 		return nil, err
 	}
-	text := fmt.Sprintf(settingsText, name, zone, service, n.appServer, n.callers, n.peers, n.ready, n.control, n.door.address)
+	text := fmt.Sprintf(settingsText, name, zone, service, n.appServer, n.callers, n.peers, n.ready, n.control, n.door.address, at.slack, at.memoryMB)
 	return n, os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
--- a/review/rig2/turned_away.go
+++ b/review/rig2/turned_away.go
@@ -60,15 +60,16 @@
 		c.load(served, http.MethodGet, "/lohu930/2f", 50*time.Millisecond, 800*time.Millisecond, stop)
 		close(ended)
 	}()
-	time.Sleep(time.Until(began.Add(turnedAwayFor)))
+	time.Sleep(time.Until(began.Add(turnedAwayFor - 200*time.Millisecond)))
 	close(stop)
 	<-ended
-	for _, n := range served {
-		r.record.line("%s, which the store serves, made %d calls to it", n.name, n.door.takeCalls())
-	}
 	for _, n := range away {
 		n.door.shut(false)
 	}
+	r.record.line("the store serves all again, %.2f s after it began to turn some away", time.Since(began).Seconds())
+	for _, n := range served {
+		r.record.line("%s, which the store serves, made %d calls to it", n.name, n.door.takeCalls())
+	}
 	return r.countOld(c, confirmed.Add(configApply+skewMax)) > 0, nil
 }
 
--- a/review/rig2/upstream.go
+++ b/review/rig2/upstream.go
@@ -41,12 +41,10 @@
 	hold func(sequence int) <-chan struct{}
 }
 
-const upstreamSlots = 6
-
-func newUpstream(rec *record, n *node, work time.Duration) (*upstream, error) {
+func newUpstream(rec *record, n *node, slots int, work time.Duration) (*upstream, error) {
 	u := &upstream{
 		record: rec, node: n, id: "i-" + n.name, service: n.service, born: time.Now().UnixMilli(), work: work,
-		slots: make(chan struct{}, upstreamSlots), stop: make(chan struct{}),
+		slots: make(chan struct{}, slots), stop: make(chan struct{}),
 	}
 	listener, err := net.Listen("tcp", n.appServer)
 	if err != nil {
@@ -138,7 +136,7 @@
 
 func (u *upstream) sendReport(sequence int) {
 	body, _ := json.Marshal(map[string]any{ // cannot fail
-		"service": u.service, "address": u.node.appServer, "zone": u.node.zone, "version": "v1", "slots": upstreamSlots,
+		"service": u.service, "address": u.node.appServer, "zone": u.node.zone, "version": "v1", "slots": cap(u.slots),
 		"state": "ready", "cold_left_ms": 0, "sequence": sequence, "born": u.born,
 	})
 	if u.hold != nil {
