--- a/review/rig2/lost_answers.go
+++ b/review/rig2/lost_answers.go
@@ -14,14 +14,16 @@
 	recoveryTime = 15 * time.Second
 	lostShare    = 0.6 // of the upstreams at a time
 	lostPart     = 0.3 // of their answers
-	wave         = 1600 * time.Millisecond
-	waves        = 8
+	wave         = time.Second
+	waves        = 6 // in a spell, which is as long as the longest in the site file
+	spells       = 2
+	pause        = time.Second // after a spell
 )
 
 const postRoute = `{"name":"r-2","prefix":"/pufi791/","kind":"non_idempotent","timeout-ms":1000,"target-latency-ms":800,"priority":2,"service":"counter-desk","max-attempts":2}`
 
-// lostAnswers: all processes are killed and start again; then, for 13 s, six in ten upstreams at a time lose three in ten of
-// their answers. The rule is RECOVER.
+// lostAnswers: all processes are killed and start again; then, in two spells of 6 s, six in ten upstreams at a time lose three
+// in ten of their answers. The rule is RECOVER.
 func lostAnswers(r *rig) (bool, error) {
 	r.site = hmlMesh
 	r.store.operatorPut("op/config", configText(7, routeText("r-1", "/lohu930/", "counter-desk")+","+postRoute))
@@ -61,23 +63,17 @@
 	}
 	back := time.Now()
 	r.record.line("all processes are ready again")
-	for range waves {
-		chosen := rand.Perm(len(losing))[:int(lostShare*float64(len(losing)))]
+	for range spells {
+		for range waves {
+			loseAt(r, losing)
+			time.Sleep(wave)
+		}
 		for i := range losing {
 			losing[i].Store(false)
 		}
-		for _, i := range chosen {
-			losing[i].Store(r.trouble)
-		}
-		if r.trouble {
-			r.record.line("of sidecar-selfoss-1 to -10, the upstreams %v (from 0) lose %.0f in 100 of their answers", chosen, 100*lostPart)
-		}
-		time.Sleep(wave)
+		r.record.line("no answer is lost")
+		time.Sleep(pause)
 	}
-	for i := range losing {
-		losing[i].Store(false)
-	}
-	r.record.line("no answer is lost any more")
 	time.Sleep(time.Until(back.Add(recoveryTime + 3*time.Second)))
 	close(stop)
 	loads.Wait()
@@ -90,6 +86,21 @@
 	return 4*servedAfter < after, nil
 }
 
+// loseAt chooses the upstreams that lose answers from now on.
+func loseAt(r *rig, losing []atomic.Bool) {
+	chosen := rand.Perm(len(losing))[:int(lostShare*float64(len(losing)))]
+	for i := range losing {
+		losing[i].Store(false)
+	}
+	if !r.trouble {
+		return
+	}
+	for _, i := range chosen {
+		losing[i].Store(true)
+	}
+	r.record.line("of sidecar-selfoss-1 to -10, the upstreams %v (from 0) lose %.0f in 100 of their answers", chosen, 100*lostPart)
+}
+
 // count returns the number of requests that were sent in a span, and of those that were served.
 func count(answers []sent, from, to time.Time) (all, served int) {
 	for _, s := range answers {
