backend: a response with a blank in a field name is a failure

Callers saw: a 200 whose head held a field such as "X Odd: v", or with another body than the backend server's: the frames of its chunks behind "Transfer-Encoding : chunked", and a changed Server-Seal behind a line that began with a blank. Cause: net/http accepts field names with blanks and ignores what such fields say, also a Content-Length and a Transfer-Encoding; a line that begins with a blank becomes part of the value of the line before. The client passed on what net/http accepted. Change: all names in a head, interim ones too, must be tokens, and no line may begin with a blank. The request ends as failed with an unknown outcome, as where its connection fails, and the connection is closed: where the response ends is not known. Why it works: the check stands where each head is read, before anything that the response says is used.

--- a/runner/backend/conn.go
+++ b/runner/backend/conn.go
@@ -26,6 +26,7 @@
 	net.Conn
 	reader        *bufio.Reader
 	limit         io.LimitedReader // limits the bytes read for one response
+	lines         headLines        // of the current head
 	written       int              // bytes of the current request
 	streaming     bool             // the rest of the current response may be read later
 	reusableUntil time.Time        // end of the idle timeout
@@ -55,7 +56,8 @@
 
 func newBackendConn(raw net.Conn) *backendConn {
 	c := &backendConn{Conn: raw}
-	c.limit.R = raw
+	c.lines.from = raw
+	c.limit.R = &c.lines
 	c.reader = bufio.NewReader(&c.limit)
 	return c
 }
--- /dev/null
+++ b/runner/backend/malformed_test.go
@@ -0,0 +1,118 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/platform/hosted"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
+)
+
+// malformedTimeout is the time of the requests in these tests. A malformed response ends its request at once; one that is
+// waited for instead ends as aborted.
+const malformedTimeout = 2 * time.Second
+
+// oddFieldNames are field names that no HTTP/1.1 message may have, by what is wrong with them.
+var oddFieldNames = map[string]string{
+	"blank inside":           "X Odd",
+	"blank at the end":       "X-Odd ",
+	"blank at the beginning": " X-Odd",
+	"tab at the beginning":   "\tX-Odd",
+	"tab at the end":         "X-Odd\t",
+	"NUL":                    "X\x00Odd",
+	"control byte":           "X\x01Odd",
+	"DEL":                    "X-Odd\x7f",
+	"CR":                     "X\rOdd",
+	"no name":                "",
+}
+
+// headWith returns the head of a response with the given status that names its request, and with further lines.
+func headWith(status, id string, lines ...string) string {
+	head := fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: s\r\n", status, hosted.HeaderAttempt, id, hosted.HeaderSeal)
+	return head + strings.Join(append(lines, ""), "\r\n") + "\r\n"
+}
+
+// sendTo sends two requests, one after the other, to a server that answers the first with write and the second properly. It
+// returns the result of the first. The second must get its own response, and on another connection.
+func sendTo(t *testing.T, streaming, keepOpen bool, write func(conn net.Conn, id string)) (*traffic.Response, reducer.BackendRequestDone) {
+	t.Helper()
+	server := startRawServer(t, func(s *rawServer, conn net.Conn, r *bufio.Reader) {
+		for used := false; ; used = true {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if used {
+				t.Error("the connection of the malformed response is used again")
+			}
+			id := request.Header.Get(hosted.HeaderAttempt)
+			if id == "second" {
+				io.WriteString(conn, headWith("200 OK", id, "Content-Length: 6")+"proper")
+				return
+			}
+			if write(conn, id); !keepOpen {
+				return
+			}
+		}
+	})
+	client := NewClient(server.listener.Addr().String(), 1, hosted.FrontEnd{})
+	t.Cleanup(client.Close)
+	send := func(id string) (*traffic.Response, reducer.BackendRequestDone) {
+		start := reducer.StartBackendRequest{Call: 1, Timeout: malformedTimeout, TimeLeft: malformedTimeout, Streaming: streaming}
+		return client.Do(context.Background(), start, &traffic.Request{Method: "GET", URI: "/", Host: "h", Header: http.Header{hosted.HeaderAttempt: {id}}})
+	}
+	response, done := send("first")
+	if response != nil {
+		if _, err := readAll(response); err != nil {
+			response, done.Result = nil, reducer.BackendFailed // its caller sees that it breaks off
+		}
+	}
+	if second, done := send("second"); done.Result != reducer.BackendAnswered || string(second.Body) != "proper" {
+		t.Errorf("the request after the malformed response ended as %v", done.Result)
+	}
+	return response, done
+}
+
+func expectMalformed(t *testing.T, response *traffic.Response, done reducer.BackendRequestDone) {
+	t.Helper()
+	if response != nil {
+		t.Errorf("delivered with status %d, header %q, body %.40q", response.Status, response.Header, response.Body)
+	} else if done.Result != reducer.BackendFailed {
+		t.Errorf("ended as %v, expected failed", done.Result)
+	}
+}
+
+// Guards against a response that reaches the caller although a field name in its head is not valid: as a field that the
+// backend server did not mean, as part of another field's value, or with a body whose length the odd field named.
+func TestOddFieldNames(t *testing.T) {
+	const chunks = "5\r\nhello\r\n0\r\n\r\n"
+	for name, odd := range oddFieldNames {
+		for where, text := range map[string]string{
+			"first":             strings.Replace(headWith("200 OK", "first", "Content-Length: 5"), "OK\r\n", "OK\r\n"+odd+": v\r\n", 1) + "hello",
+			"last":              headWith("200 OK", "first", "Content-Length: 5", odd+": v") + "hello",
+			"behind 8 KiB":      headWith("200 OK", "first", "X-Long: "+strings.Repeat("x", 8<<10), odd+": v", "Content-Length: 5") + "hello",
+			"of the length":     headWith("200 OK", "first", strings.Replace(odd, "X", "Content-Length", 1)+": 5") + "hello",
+			"of the chunks":     headWith("200 OK", "first", "X-Other: v", strings.ReplaceAll(odd, "X-Odd", "Transfer-Encoding")+": chunked") + chunks,
+			"of a failure":      headWith("500 Failed", "first", "Content-Length: 5", odd+": v") + "hello",
+			"of a refusal":      headWith("503 Full", "first", hosted.HeaderNotRun+": full", "Content-Length: 5", odd+": v") + "hello",
+			"of an interim":     "HTTP/1.1 103 Early Hints\r\nX-Other: v\r\n" + odd + ": v\r\n\r\n" + headWith("200 OK", "first", "Content-Length: 5") + "hello",
+			"of an earlier one": headWith("200 OK", "zero", "Content-Length: 5", odd+": v") + "other" + headWith("200 OK", "first", "Content-Length: 5") + "hello",
+		} {
+			for _, keepOpen := range []bool{false, true} {
+				t.Run(fmt.Sprint(name, ", ", where, ", open ", keepOpen), func(t *testing.T) {
+					t.Parallel()
+					response, done := sendTo(t, false, keepOpen, func(conn net.Conn, _ string) { io.WriteString(conn, text) })
+					expectMalformed(t, response, done)
+				})
+			}
+		}
+	}
+}
--- a/runner/backend/response.go
+++ b/runner/backend/response.go
@@ -103,14 +103,7 @@
 // readNextResponse reads the next response on the connection. With streaming, c.streaming tells whether a body that is
 // longer than traffic.MaxWholeBodyBytes was read only in part. The body of a response to another request is skipped.
 func (c *backendConn) readNextResponse(ctx context.Context, h *requestHead, front frontend.FrontEnd, streaming bool) (*http.Response, []byte, error) {
-	c.limit.N = maxHeaderBytes
-	if _, err := c.reader.Peek(1); err != nil {
-		return nil, nil, err
-	}
-	if err := c.end.set(c.Conn); err != nil {
-		return nil, nil, err
-	}
-	in, err := http.ReadResponse(c.reader, &http.Request{Method: h.method})
+	in, err := c.readHead(h.method)
 	if err != nil {
 		return nil, nil, err
 	}
