backend: a response with an odd status line is a failure

Callers saw: after a response with status 000 (or 001 to 099) a 504 at the end of their time, or a 200 with whatever followed on the connection; status 600 to 999, and 200 of "HTTP/2.0", as answers. Status 000 itself reached no caller in these tests. Cause: net/http accepts any three digits and any version. The client took all codes below 200 for interim responses, skipped them with their bodies and waited for the next one, with the slot of the request taken; it passed on all others. Change: a head must be of HTTP/1.x and its code from 100 to 599. Anything else ends the request as failed with an unknown outcome and closes its connection, also if it says that the request was not run. Why it works: only 100 to 199 count as interim now, and the check stands before the loop that skips those.

--- a/internal/httpresponse/check.go
+++ b/internal/httpresponse/check.go
@@ -1,10 +1,11 @@
 // Package httpresponse checks the HTTP/1.x responses that the system receives. net/http accepts some that are not valid
-// messages, such as one with a blank in a field name.
+// messages, such as one with a status code of 000 or with a blank in a field name.
 package httpresponse
 
 import (
 	"errors"
 	"fmt"
+	"net/http"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -13,6 +14,23 @@
 // nothing that they say can be relied on.
 var ErrMalformed = errors.New("malformed HTTP response")
 
+// Status codes of HTTP (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// CheckHead returns an error unless a head that net/http has read is that of an HTTP/1.x response, interim or final.
+func CheckHead(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return fmt.Errorf("%w: version %.16q, expected HTTP/1.1 or HTTP/1.0", ErrMalformed, r.Proto)
+	}
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus {
+		return fmt.Errorf("%w: status code %.3q, expected %d to %d", ErrMalformed, r.Status, minStatus, maxStatus)
+	}
+	return CheckFields(r.Header)
+}
+
 // CheckFields returns an error unless the names of all header or trailer fields are tokens (RFC 9110, section 5.1).
 func CheckFields(fields map[string][]string) error {
 	for name := range fields {
--- a/node/broken_answer_test.go
+++ b/node/broken_answer_test.go
@@ -19,6 +19,11 @@
 	keepOpen bool // the backend server leaves the connection open
 }
 
+// withStatus returns a whole answer to a request with a status line of its own.
+func withStatus(line, id string) string {
+	return strings.Replace(okHead(id, "Content-Length: 5\r\n"), "HTTP/1.1 200 OK", line, 1) + "hello"
+}
+
 // brokenAnswers are answers that are not valid HTTP, by name.
 var brokenAnswers = map[string]brokenAnswer{
 	"blank-in-name": {func(id string) string { return okHead(id, "X Odd: v\r\nContent-Length: 5\r\n") + "hello" }, true},
@@ -32,6 +37,14 @@
 	"interim": {func(id string) string {
 		return "HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n\r\n" + okHead(id, "Content-Length: 5\r\n") + "hello"
 	}, true},
+	"status-000":      {func(id string) string { return withStatus("HTTP/1.1 000 OK", id) }, false},
+	"status-000-open": {func(id string) string { return withStatus("HTTP/1.1 000 OK", id) }, true},
+	"status-000-before-another": {func(id string) string {
+		return withStatus("HTTP/1.1 000 OK", id) + okHead(id, "Content-Length: 5\r\n") + "hello"
+	}, true},
+	"status-099":  {func(id string) string { return withStatus("HTTP/1.1 099 OK", id) }, true},
+	"status-999":  {func(id string) string { return withStatus("HTTP/1.1 999 OK", id) }, true},
+	"version-2.0": {func(id string) string { return withStatus("HTTP/2.0 200 OK", id) }, true},
 }
 
 // serveBroken answers the requests for a path of brokenAnswers with that answer, and all others properly. It counts the
--- a/runner/backend/head.go
+++ b/runner/backend/head.go
@@ -29,7 +29,7 @@
 	if c.lines.folded {
 		return nil, errFoldedLine
 	}
-	return in, httpresponse.CheckFields(in.Header)
+	return in, httpresponse.CheckHead(in)
 }
 
 // errFoldedLine is returned for a head with a line that begins with a blank. net/http takes it for more of the line before,
--- a/runner/backend/malformed_test.go
+++ b/runner/backend/malformed_test.go
@@ -116,3 +116,30 @@
 		}
 	}
 }
+
+// Guards against a response whose status line is not one of HTTP/1.x that reaches the caller, that is skipped like an interim
+// one, so that its request waits for another, or whose body is taken for the next response.
+func TestOddStatusLines(t *testing.T) {
+	for _, line := range []string{
+		"HTTP/1.1 000 OK", "HTTP/1.1 000", "HTTP/1.1 001 OK", "HTTP/1.1 099 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -00 OK", "HTTP/1.1 600 OK", "HTTP/1.1 999 OK",
+		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/11 200 OK", "ICY 200 OK",
+	} {
+		odd := strings.Replace(headWith("200 OK", "first", "Content-Length: 5"), "HTTP/1.1 200 OK", line, 1) + "hello"
+		refusal := strings.Replace(odd, "\r\n", "\r\n"+hosted.HeaderNotRun+": full\r\n", 1)
+		proper := headWith("200 OK", "first", "Content-Length: 5") + "hello"
+		for where, text := range map[string]string{
+			"alone": odd, "as a refusal": refusal, "ahead of the response": odd + proper, "behind an interim": "HTTP/1.1 103 Early Hints\r\n\r\n" + odd,
+			"of an earlier one": strings.Replace(odd, "first", "zero", 1) + proper,
+		} {
+			for _, streaming := range []bool{false, true} {
+				for _, keepOpen := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %s, streaming %v, open %v", line, where, streaming, keepOpen), func(t *testing.T) {
+						t.Parallel()
+						response, done := sendTo(t, streaming, keepOpen, func(conn net.Conn, _ string) { io.WriteString(conn, text) })
+						expectMalformed(t, response, done)
+					})
+				}
+			}
+		}
+	}
+}
