backend: tests of heads that stop

Reported by others: an upstream stopped in the middle of its head and closed, and clients got a 200 with an empty or short body. Here: handled already. Done: the tests stay; nothing else changes.

--- a/node/broken_answer_test.go
+++ b/node/broken_answer_test.go
@@ -42,9 +42,14 @@
 	"status-000-before-another": {func(id string) string {
 		return withStatus("HTTP/1.1 000 OK", id) + okHead(id, "Content-Length: 5\r\n") + "hello"
 	}, true},
-	"status-099":  {func(id string) string { return withStatus("HTTP/1.1 099 OK", id) }, true},
-	"status-999":  {func(id string) string { return withStatus("HTTP/1.1 999 OK", id) }, true},
-	"version-2.0": {func(id string) string { return withStatus("HTTP/2.0 200 OK", id) }, true},
+	"status-099":      {func(id string) string { return withStatus("HTTP/1.1 099 OK", id) }, true},
+	"status-999":      {func(id string) string { return withStatus("HTTP/1.1 999 OK", id) }, true},
+	"stops-in-status": {func(string) string { return "HTTP/1.1 200" }, false},
+	"stops-in-name":   {func(id string) string { return strings.TrimSuffix(okHead(id, "Content-Le"), "\r\n") }, false},
+	"stops-in-value":  {func(id string) string { return strings.TrimSuffix(okHead(id, "Content-Length: 1"), "\r\n") }, false},
+	"stops-at-line":   {func(id string) string { return strings.TrimSuffix(okHead(id, ""), "\r\n") }, false},
+	"stops-at-end":    {func(id string) string { return strings.TrimSuffix(okHead(id, ""), "\n") }, false},
+	"version-2.0":     {func(id string) string { return withStatus("HTTP/2.0 200 OK", id) }, true},
 }
 
 // serveBroken answers the requests for a path of brokenAnswers with that answer, and all others properly. It counts the
--- a/runner/backend/malformed_test.go
+++ b/runner/backend/malformed_test.go
@@ -143,3 +143,34 @@
 		}
 	}
 }
+
+// Guards against a 200 with an empty or short body, framed as whole, behind a head that stops: at each of its bytes, by the end
+// of the connection or by a reset.
+func TestHeadThatStops(t *testing.T) {
+	for name, c := range map[string]struct{ before, head string }{
+		"sized":            {"", headWith("200 OK", "first", "Content-Length: 5")},
+		"chunked":          {"", headWith("200 OK", "first", "Transfer-Encoding: chunked")},
+		"ended by close":   {"", headWith("200 OK", "first")},
+		"no content":       {"", headWith("204 No Content", "first")},
+		"failure":          {"", headWith("500 Failed", "first", "Content-Length: 0")},
+		"refusal":          {"", headWith("503 Full", "first", hosted.HeaderNotRun+": full", "Content-Length: 0")},
+		"interim":          {"", "HTTP/1.1 103 Early Hints\r\nX-Other: v\r\n\r\n"},
+		"behind interim":   {"HTTP/1.1 103 Early Hints\r\n\r\n", headWith("200 OK", "first", "Content-Length: 5")},
+		"behind late copy": {headWith("200 OK", "zero", "Content-Length: 5") + "other", headWith("200 OK", "first", "Content-Length: 5")},
+	} {
+		for length := range len(c.head) {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %d bytes, reset %v", name, length, reset), func(t *testing.T) {
+					t.Parallel()
+					response, done := sendTo(t, length%2 == 0, false, func(conn net.Conn, _ string) {
+						io.WriteString(conn, c.before+c.head[:length])
+						if reset {
+							conn.(*net.TCPConn).SetLinger(0)
+						}
+					})
+					expectMalformed(t, response, done)
+				})
+			}
+		}
+	}
+}
