backend: a response with a blank in a trailer field's name is a failure

Callers saw: a complete 200 although the end of the response was not valid; the connection was used for the next request. Cause: as in heads, net/http accepts such names. Trailers are not passed on, so that nothing else looked at them. Change: the body of a chunked response ends with an error unless the names in its trailer are tokens. A response that is delivered as a whole fails, one that is passed on while it is received breaks off, and the connection is closed. Names with control bytes passed before. Why it works: the last read of a body returns the error in place of its end, and all readers of bodies go by that.

--- a/runner/backend/head.go
+++ b/runner/backend/head.go
@@ -29,6 +29,7 @@
 	if c.lines.folded {
 		return nil, errFoldedLine
 	}
+	httpresponse.CheckTrailer(in)
 	return in, httpresponse.CheckHead(in)
 }
 
--- a/runner/backend/malformed_test.go
+++ b/runner/backend/malformed_test.go
@@ -174,3 +174,29 @@
 		}
 	}
 }
+
+// Guards against a response that looks complete although its trailer is not valid, of a body that is delivered as a whole, of one
+// that is passed on while it is received, and of one that is skipped.
+func TestOddTrailers(t *testing.T) {
+	bodies := map[string]string{"short": "5\r\nhello\r\n", "long": strings.SplitN(chunked(longBody()), "\r\n\r\n", 2)[1]}
+	for name, odd := range oddFieldNames {
+		for size, body := range bodies {
+			for where, text := range map[string]string{
+				"alone":             headWith("200 OK", "first", "Transfer-Encoding: chunked") + body + "0\r\n" + odd + ": v\r\n\r\n",
+				"behind another":    headWith("200 OK", "first", "Transfer-Encoding: chunked", "Trailer: X-Other") + body + "0\r\nX-Other: v\r\n" + odd + ": v\r\n\r\n",
+				"of an earlier one": headWith("200 OK", "zero", "Transfer-Encoding: chunked") + body + "0\r\n" + odd + ": v\r\n\r\n" + headWith("200 OK", "first", "Content-Length: 5") + "hello",
+			} {
+				if where == "behind another" && strings.TrimLeft(odd, " \t") != odd {
+					continue // more of the value of X-Other, which may be on two lines (RFC 9112, section 5.2) and is not passed on
+				}
+				for _, streaming := range []bool{false, true} {
+					t.Run(fmt.Sprintf("%s, %s, %s, streaming %v", name, size, where, streaming), func(t *testing.T) {
+						t.Parallel()
+						response, done := sendTo(t, streaming, true, func(conn net.Conn, _ string) { io.WriteString(conn, text) })
+						expectMalformed(t, response, done)
+					})
+				}
+			}
+		}
+	}
+}
