peer: a malformed response of another node is not delivered

Callers saw (during an upgrade): what the node beside the backend server passed on, such as a field name with a blank or status 999, from nodes of the versions before this one; an interim or lower status would have ended the caller's connection in a panic of net/http's server. Cause: a response from another node was taken as it came, with the answer to a call, with that to a question for its outcome and with a record of an idempotency key. Why it works: the three places that take an answer call removeMalformed before they look at its outcome.

--- a/internal/httpresponse/check.go
+++ b/internal/httpresponse/check.go
@@ -16,8 +16,9 @@
 
 // Status codes of HTTP (RFC 9110, section 15).
 const (
-	minStatus = 100
-	maxStatus = 599
+	minStatus      = 100
+	minFinalStatus = 200 // lower ones are those of interim responses
+	maxStatus      = 599
 )
 
 // CheckHead returns an error unless a head that net/http has read is that of an HTTP/1.x response, interim or final.
@@ -31,6 +32,14 @@
 	return CheckFields(r.Header)
 }
 
+// CheckFinal returns an error unless a final response may have the status code and the header fields.
+func CheckFinal(status int, header map[string][]string) error {
+	if status < minFinalStatus || status > maxStatus {
+		return fmt.Errorf("%w: status code %d, expected %d to %d", ErrMalformed, status, minFinalStatus, maxStatus)
+	}
+	return CheckFields(header)
+}
+
 // CheckFields returns an error unless the names of all header or trailer fields are tokens (RFC 9110, section 5.1).
 func CheckFields(fields map[string][]string) error {
 	for name := range fields {
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -105,16 +105,22 @@
 		}
 		return done, nil
 	}
+	answer.removeMalformed()
 	done.Result = reducer.ForwardAnswered
 	done.Outcome, done.Reason, done.Status = reducer.Outcome(answer.Outcome), reducer.Reason(answer.Reason), answer.Status
 	done.Load, done.RetriesUsed = answer.Load.toLoadReport(), answer.RetriesUsed
 	done.Took = time.Duration(answer.Took)
-	response := answer.toResponse()
 	done.Bytes = max(int64(len(answer.Body)), answer.Length)
-	if response == nil || !answer.HasRest {
+	response := answer.toResponse()
+	if !answer.HasRest {
 		return done, response
 	}
-	response.Rest, response.Length = c.newPeerStream(f, c.streamKey(key), len(answer.Body)), answer.Length
+	rest := c.newPeerStream(f, c.streamKey(key), len(answer.Body))
+	if response == nil { // it was malformed
+		rest.Close()
+		return done, nil
+	}
+	response.Rest, response.Length = rest, answer.Length
 	switch err := readRest(ctx, response, f.Streaming); {
 	case errors.Is(err, errBrokenOff):
 		done.Outcome, done.Reason, done.Status = reducer.OutcomeUnknown, reducer.ReasonBackendFailed, 0
@@ -177,6 +183,7 @@
 	if err != nil {
 		return done, nil
 	}
+	answer.removeMalformed()
 	done.Outcome, done.Reason, done.Status = reducer.Outcome(answer.Outcome), reducer.Reason(answer.Reason), answer.Status
 	done.Load = answer.Load.toLoadReport()
 	return done, answer.toResponse()
--- a/runner/peer/fuzz_test.go
+++ b/runner/peer/fuzz_test.go
@@ -116,6 +116,7 @@
 			return false
 		}
 		answer.Load.toLoadReport()
+		answer.removeMalformed()
 		answer.toResponse()
 	}
 	return true
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/internal/httpresponse"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/nested"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
@@ -247,6 +248,15 @@
 	a.Body, a.Truncated = response.Body, response.Truncated
 }
 
+// removeMalformed removes a response that is not valid HTTP: nodes of earlier versions pass on what their backend servers send.
+// The call may have run, so that its outcome becomes unknown.
+func (a *Answer) removeMalformed() {
+	if a.HasResponse && httpresponse.CheckFinal(a.Status, a.Header) != nil {
+		a.Outcome, a.Reason, a.Status = uint8(reducer.OutcomeUnknown), uint8(reducer.ReasonBackendFailed), 0
+		a.HasResponse, a.Header, a.Body = false, nil, nil
+	}
+}
+
 func (a *Answer) toResponse() *traffic.Response {
 	if !a.HasResponse {
 		return nil
--- a/runner/peer/wire_records.go
+++ b/runner/peer/wire_records.go
@@ -44,6 +44,7 @@
 	responses := make([]*traffic.Response, len(args.Records))
 	for i := range args.Records {
 		r := &args.Records[i]
+		r.Answer.removeMalformed()
 		responses[i] = r.Answer.toResponse()
 		records[i] = reducer.KeyRecord{
 			Route: r.Route, Key: r.Key, ID: r.ID.toCallID(), Remaining: time.Duration(r.Remaining),
