--- a/operator/status.go
+++ b/operator/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/rosemaryhatch/rosemaryhatch/internal/httpresponse"
 	"github.com/rosemaryhatch/rosemaryhatch/operator/nodestatus"
 )
 
@@ -28,7 +29,7 @@
 	Status  nodestatus.Status `json:"status"`
 }
 
-var statusClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+var statusClient = &http.Client{Transport: httpresponse.NewTransport(&http.Transport{DisableKeepAlives: true})}
 
 // QueryStatus reads the status of the node at an operator address, which has the form IP:port.
 func QueryStatus(ctx context.Context, address string) NodeAnswer {
