reducer: a malformed response has a result and a line in the log of its own

On-call staff saw: reason=backend_failed for a broken connection and for bytes that are no response alike; the client of the backend server dropped the error that told them apart. Cause: the result of a round trip was BackendFailed for both, and a response that was malformed at once counted as a reset, from which the limit of a backend server that is full is learned (off unless it is set). Change: BackendMalformed with its problem. Outcome and reason are as before; the reducer logs the request's id, the instance and the problem, counts the response against a version that is rolled out, as before, and does not take it for a reset. The fault matrix has a backend server that answers so. Evidence: the reducer's three tests and the matrix pass.

--- a/internal/faultmatrix/faults.go
+++ b/internal/faultmatrix/faults.go
@@ -80,6 +80,7 @@
 		{"backend server leaves", func(_ *pump.World, n *pump.Node) { n.DeregisterBackend() }},
 		{"backend server sheds", func(_ *pump.World, n *pump.Node) { n.Backend.Shedding = true }},
 		{"backend server answers without end", func(_ *pump.World, n *pump.Node) { n.Backend.Endless = true }},
+		{"backend server answers malformed", func(_ *pump.World, n *pump.Node) { n.Backend.Malformed = true }},
 		{"node stopped", func(_ *pump.World, n *pump.Node) { n.Stop() }},
 		{"store down", func(w *pump.World, _ *pump.Node) { w.Store.Down = true }},
 		{"store slow", func(w *pump.World, _ *pump.Node) { w.Store.ExtraDelay = 900 * time.Millisecond }},
--- a/internal/httpresponse/check.go
+++ b/internal/httpresponse/check.go
@@ -3,8 +3,11 @@
 package httpresponse
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 
 	"golang.org/x/net/http/httpguts"
@@ -14,6 +17,20 @@
 // nothing that they say can be relied on.
 var ErrMalformed = errors.New("malformed HTTP response")
 
+// maxProblemBytes bounds the text of an error of net/http, which may quote what has arrived.
+const maxProblemBytes = 200
+
+// ParseError returns the error for a response that net/http cannot read: one that wraps ErrMalformed, unless the connection
+// ended or failed, or the request was cancelled.
+func ParseError(err error) error {
+	var network net.Error
+	switch {
+	case errors.As(err, &network), errors.Is(err, net.ErrClosed), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, context.Canceled):
+		return err
+	}
+	return fmt.Errorf("%w: %.*s", ErrMalformed, maxProblemBytes, err.Error())
+}
+
 // Status codes of HTTP (RFC 9110, section 15).
 const (
 	minStatus      = 100
--- a/internal/httpresponse/trailer.go
+++ b/internal/httpresponse/trailer.go
@@ -6,7 +6,7 @@
 )
 
 // CheckTrailer makes reads of the body of a chunked response return an error in place of io.EOF if the trailer behind the body
-// is malformed: only a valid trailer shows that the response is complete.
+// is malformed: only a valid trailer shows that the response is complete. Errors of chunks are those of ParseError.
 func CheckTrailer(r *http.Response) {
 	if len(r.TransferEncoding) > 0 && r.Body != http.NoBody {
 		r.Body = &chunkedBody{r.Body, r}
@@ -22,10 +22,14 @@
 // Read implements io.Reader.
 func (b *chunkedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		if malformed := CheckFields(b.response.Trailer); malformed != nil {
-			return n, malformed
-		}
+	switch {
+	case err == nil:
+		return n, nil
+	case err != io.EOF:
+		return n, ParseError(err)
 	}
-	return n, err
+	if err := CheckFields(b.response.Trailer); err != nil {
+		return n, err
+	}
+	return n, io.EOF
 }
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -216,6 +216,11 @@
 			n.growResponse(e.Call, g, 2*reducer.FreeResponseBytes)
 			return
 		}
+		if n.Backend.Malformed {
+			n.world.History.Disrupted = true // the backend server spoils the response, not the node
+			n.endBackendRequest(e.Call, g, reducer.BackendMalformed, n.world.Now-startedAt)
+			return
+		}
 		g.localResponse = g.request
 		if e.KeepResponse {
 			n.keptResponses[e.Call] = g.request
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -101,6 +101,7 @@
 	MaxRunning   int
 	Shedding     bool // refuses requests without running them
 	Endless      bool // runs requests and answers with a body that does not end
+	Malformed    bool // runs requests and answers with bytes that are no valid response
 	Version      string
 	FailShare    float64 // part of the requests that it answers with status 500
 	SlowBy       int     // how many times slower it is; 0 for not at all
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -177,6 +177,7 @@
 	BackendAborted                              // ended by AbortBackendRequest or by the deadline
 	BackendMisdirected                          // another backend server now has the address; it did not run the request
 	BackendOversized                            // the response was cut because it was too large; the request has run
+	BackendMalformed                            // what arrived is no valid response; the request may have run
 )
 
 // BackendRequestDone reports the end of a request that a StartBackendRequest effect sent, or, with Streaming, that the
@@ -188,7 +189,8 @@
 	Bytes     int64 // size of the response body
 	KeptBytes int64 // bytes of the response that are kept for later copies of the call
 	Elapsed   time.Duration
-	Streaming bool // the backend server still sends the response; BackendStreamEnded reports its end
+	Streaming bool   // the backend server still sends the response; BackendStreamEnded reports its end
+	Problem   string // what is wrong with the response, for BackendMalformed
 }
 
 // BackendStreamEnded reports that the backend server no longer works on a request whose BackendRequestDone was
--- /dev/null
+++ b/reducer/malformed_response_test.go
@@ -0,0 +1,71 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
+)
+
+// Guards against a call that is reported as not run, or run again, after its backend server sent bytes that are no response, and
+// against such an end that an operator cannot tell from a broken connection.
+func TestMalformedResponseIsUnknownAndLogged(t *testing.T) {
+	d := newGrowingResponses(t, 1<<20)
+	d.forward("a", map[string]string{"once": "1", "left": "1000"})
+	done := BackendRequestDone{Call: d.calls["a"], Result: BackendMalformed, Problem: "status code 000"}
+	var answer *AnswerForward
+	problem := ""
+	for _, effect := range Reduce(d.state, Event{Now: d.now, Input: done}) {
+		switch e := effect.(type) {
+		case AnswerForward:
+			answer = &e
+		case Log:
+			for _, field := range e.Fields {
+				if field.Key == "problem" {
+					problem = fmt.Sprint(field.Value)
+				}
+			}
+		}
+	}
+	if answer == nil || answer.Outcome != OutcomeUnknown || answer.Reason != ReasonBackendFailed || answer.Status != 0 {
+		t.Errorf("the call ended with %+v", answer)
+	}
+	if problem != done.Problem {
+		t.Errorf("the line in the log says %q, expected %q", problem, done.Problem)
+	}
+	if got := d.forward("copy", map[string]string{"copy": "a", "once": "1", "left": "1000"}); got != "answer copy unknown backend_failed\n" {
+		t.Errorf("a copy ended with %q", got)
+	}
+}
+
+// Guards against a bad version that is rolled out because its malformed responses count as good ones.
+func TestMalformedResponseCountsAgainstAVersion(t *testing.T) {
+	s := newWorkspaceNode(t, "")
+	s.cfg.Rollouts.Enabled = true
+	s.backend.service = "v"
+	s.rollouts.counts = map[string]*rollout.RouteCount{}
+	s.now = 10 * time.Second
+	s.rollouts.view.Apply(rollout.Update{Service: "v", Version: "v2", From: "v1", State: rollout.Running, Share: 0.04, Revision: 1}, s.now)
+	s.countForRollout("r", BackendRequestDone{Result: BackendMalformed, Elapsed: 100 * time.Millisecond})
+	if c := s.rollouts.counts["r"]; c == nil || c.Calls != 1 || c.Failures != 1 {
+		t.Errorf("counted %+v, expected one failure", c)
+	}
+}
+
+// Guards against a limit for a backend server that sends malformed responses at once and is taken for one that resets
+// connections because it is full.
+func TestMalformedResponsesAreNoResets(t *testing.T) {
+	b := newFullBackend(t, false, true)
+	for i := range 300 {
+		call := Handle(i + 1)
+		b.apply(ForwardArrived{Call: call, ID: CallID{Origin: "o", Incarnation: 1, Seq: uint64(call)}, Route: "r", Pool: "p", Idempotent: true,
+			TimeLeft: time.Second, TargetIncarnation: 1})
+		b.apply(testRegistration(map[string]string{"slots": "13"}))
+		b.apply(BackendRequestDone{Call: call, Result: BackendMalformed})
+		b.now += time.Millisecond
+		if slots := b.state.slots(); slots != fullSlots {
+			t.Fatalf("%d slots after %d malformed responses", slots, i+1)
+		}
+	}
+}
--- a/reducer/rollout_state.go
+++ b/reducer/rollout_state.go
@@ -280,7 +280,7 @@
 	c.Calls++
 	r.busy += s.target.running
 	switch {
-	case in.Result == BackendFailed, in.Result == BackendNotSent, in.Result == BackendAnswered && in.Status >= failureStatus:
+	case in.Result == BackendFailed, in.Result == BackendMalformed, in.Result == BackendNotSent, in.Result == BackendAnswered && in.Status >= failureStatus:
 		c.Failures++
 	case s.now-in.Elapsed >= s.backend.coldUntil:
 		c.Buckets[rollout.BucketOf(in.Elapsed)]++
--- a/reducer/target.go
+++ b/reducer/target.go
@@ -194,6 +194,9 @@
 	s.target.running--
 	s.accountForExecution(call, in)
 	s.removeTargetCall(call)
+	if in.Result == BackendMalformed {
+		s.logMalformed(call, in)
+	}
 	outcome, reason := backendOutcome(in.Result)
 	reason = s.abortReason(call, reason, in.Result)
 	s.completeCall(call, outcome, reason, in)
@@ -204,6 +207,14 @@
 	s.handOverWhenIdle()
 }
 
+// logMalformed tells a malformed response from a broken connection, which has the same outcome and reason.
+func (s *State) logMalformed(call *targetCall, in BackendRequestDone) {
+	s.emit(Log{Level: LevelWarn, Message: "response of the backend server is malformed", PerCall: true, Fields: []Field{
+		{"request", call.requestID}, {"call", call.id}, {"route", call.route}, {"instance", s.backend.instance},
+		{"problem", in.Problem}, {"elapsed", in.Elapsed},
+	}})
+}
+
 // beginStream answers a call whose response is passed on while the backend server sends it. The call keeps its slot until
 // handleBackendStreamEnded; the runner ends the request at the deadline.
 func (s *State) beginStream(call *targetCall, in BackendRequestDone) {
--- a/runner/backend/client.go
+++ b/runner/backend/client.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/internal/httpresponse"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
@@ -48,8 +50,11 @@
 // Do sends a request once and returns the response, nil unless the result is BackendAnswered.
 func (c *Client) Do(ctx context.Context, start reducer.StartBackendRequest, request *traffic.Request) (*traffic.Response, reducer.BackendRequestDone) {
 	began := time.Now()
-	response, result := c.send(ctx, start, request)
+	response, result, err := c.send(ctx, start, request)
 	done := reducer.BackendRequestDone{Call: start.Call, Result: result, Elapsed: time.Since(began)}
+	if result == reducer.BackendMalformed {
+		done.Problem = err.Error()
+	}
 	if response != nil {
 		done.Status = response.Status
 		done.Bytes = int64(len(response.Body))
@@ -58,26 +63,27 @@
 	return response, done
 }
 
-// send sends the request within start.Timeout. The response is nil unless the result is BackendAnswered. The connection
-// of a streaming response is released when the response ends.
-func (c *Client) send(ctx context.Context, start reducer.StartBackendRequest, request *traffic.Request) (*traffic.Response, reducer.BackendResult) {
+// send sends the request within start.Timeout. The response is nil unless the result is BackendAnswered; the error is the
+// reason for a result without a response of the backend server. The connection of a streaming response is released when the
+// response ends.
+func (c *Client) send(ctx context.Context, start reducer.StartBackendRequest, request *traffic.Request) (*traffic.Response, reducer.BackendResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, start.Timeout)
 	head, err := c.encodeHead(start, request)
 	if err != nil {
 		cancel()
-		return nil, reducer.BackendNotSent
+		return nil, reducer.BackendNotSent, err
 	}
 	select {
 	case c.permits <- struct{}{}:
 	case <-ctx.Done():
 		cancel()
-		return nil, reducer.BackendNotSent
+		return nil, reducer.BackendNotSent, ctx.Err()
 	}
 	conn, err := c.getConn(ctx, c.front.RequestID(head.header))
 	if err != nil {
 		<-c.permits
 		cancel()
-		return nil, reducer.BackendNotSent
+		return nil, reducer.BackendNotSent, err
 	}
 	stop := context.AfterFunc(ctx, func() { conn.Close() })
 	release := func(reuse bool) {
@@ -96,24 +102,25 @@
 	in, err := conn.roundTrip(ctx, head, request, c.front, start.Streaming)
 	conn.growth.end() // before another request can use the connection
 	if err != nil {
-		result := classifyFailure(ctx, conn)
+		result := classifyFailure(ctx, conn, err)
 		release(false)
-		return nil, result
+		return nil, result, err
 	}
 	if result := c.front.ClassifyResponse(in.response.Status, in.response.Header); result != reducer.BackendAnswered {
 		release(in.reuse && in.rest == nil && conn.noteRefusal(c.front.RequestID(in.response.Header)))
-		return nil, result
+		return nil, result, nil
 	}
 	if in.rest != nil {
 		in.response.Rest = newBodyStream(ctx, in.rest, cancel, func(complete bool) { release(complete && conn.prepareReuse(in.head)) })
-		return in.response, reducer.BackendAnswered
+		return in.response, reducer.BackendAnswered, nil
 	}
 	release(in.reuse)
-	return in.response, reducer.BackendAnswered
+	return in.response, reducer.BackendAnswered, nil
 }
 
-// classifyFailure returns BackendNotSent if no byte of the request was written. Otherwise the request may have run.
-func classifyFailure(ctx context.Context, conn *backendConn) reducer.BackendResult {
+// classifyFailure returns the result for a round trip that ended with err: BackendNotSent if no byte of the request was
+// written. Otherwise the request may have run.
+func classifyFailure(ctx context.Context, conn *backendConn, err error) reducer.BackendResult {
 	switch {
 	case conn.written == 0:
 		return reducer.BackendNotSent
@@ -121,6 +128,8 @@
 		return reducer.BackendOversized
 	case ctx.Err() != nil:
 		return reducer.BackendAborted
+	case errors.Is(err, httpresponse.ErrMalformed):
+		return reducer.BackendMalformed
 	default:
 		return reducer.BackendFailed
 	}
