reducer: a line for a response of another node that is withheld

On-call staff saw: reason=backend_failed at the node that took the request, with a target that says it was done. Cause: the decoder removed the response and dropped the reason. Change: the decoder's problem comes with the answer, and the reducer logs it with the request's id and the attempt. Evidence: TestMalformedAnswerOfAnotherNodeIsLogged and the problem in TestMalformedResponsesOfPeers pass; neither field existed before.

--- a/reducer/event.go
+++ b/reducer/event.go
@@ -95,7 +95,8 @@
 	Took    time.Duration // time that the call spent at the target; 0 when the target did not report it
 	// RetriesUsed is the number of retries of calls that were made on behalf of this one.
 	RetriesUsed int
-	Bytes       int64 // of the response body
+	Bytes       int64  // of the response body
+	Problem     string // what is wrong with a response that is not delivered because of it; empty for any other
 }
 
 // ProbeDone reports that the connection of a forwarded attempt answered a Probe. When it does not answer,
@@ -114,6 +115,7 @@
 	Reason   Reason
 	Status   int
 	Load     LoadReport
+	Problem  string // as in ForwardDone
 }
 
 // ForwardArrived reports a call that a peer forwarded to this node.
--- a/reducer/ingress.go
+++ b/reducer/ingress.go
@@ -225,6 +225,7 @@
 // handleForwardDone handles the end of a forwarded attempt. Results of attempts that are no longer open are ignored.
 func (s *State) handleForwardDone(in ForwardDone) {
 	call := s.ingress.calls[in.Call]
+	s.logMalformedAnswer(call, in.Attempt, in.Problem)
 	if call != nil && call.earlier != nil && !call.earlier.local && call.earlier.number == in.Attempt {
 		s.handleEarlierForwardDone(call, in)
 		return
@@ -249,6 +250,14 @@
 	}
 }
 
+// logMalformedAnswer logs why the response of another node is not delivered. It does nothing if there is no problem, or if the
+// call has ended.
+func (s *State) logMalformedAnswer(call *ingressCall, attempt int, problem string) {
+	if call != nil && problem != "" {
+		s.logCall(call, "response of another node is malformed", Field{"attempt", attempt}, Field{"problem", problem})
+	}
+}
+
 // handleAttemptAnswered handles an attempt whose target reported an outcome. The response is that of the attempt or,
 // when responseOf is not 0, the one that this node keeps for that call.
 func (s *State) handleAttemptAnswered(call *ingressCall, outcome Outcome, reason Reason, responseOf Handle) {
@@ -305,6 +314,7 @@
 	if call == nil || call.attempt != in.Attempt || call.phase != ingressSettling && call.phase != ingressAskingHolder {
 		return
 	}
+	s.logMalformedAnswer(call, in.Attempt, in.Problem)
 	if !in.Answered || in.Outcome == OutcomePending {
 		s.timers.set(timerKey{kind: timerIngressSettle, call: call.handle}, s.now+settleRetryInterval)
 		return
--- a/reducer/malformed_response_test.go
+++ b/reducer/malformed_response_test.go
@@ -14,24 +14,11 @@
 	d := newGrowingResponses(t, 1<<20)
 	d.forward("a", map[string]string{"once": "1", "left": "1000"})
 	done := BackendRequestDone{Call: d.calls["a"], Result: BackendMalformed, Problem: "status code 000"}
-	var answer *AnswerForward
-	problem := ""
-	for _, effect := range Reduce(d.state, Event{Now: d.now, Input: done}) {
-		switch e := effect.(type) {
-		case AnswerForward:
-			answer = &e
-		case Log:
-			for _, field := range e.Fields {
-				if field.Key == "problem" {
-					problem = fmt.Sprint(field.Value)
-				}
-			}
-		}
-	}
-	if answer == nil || answer.Outcome != OutcomeUnknown || answer.Reason != ReasonBackendFailed || answer.Status != 0 {
+	effects := Reduce(d.state, Event{Now: d.now, Input: done})
+	if answer := answerOf(effects, d.calls["a"]); answer == nil || answer.Outcome != OutcomeUnknown || answer.Reason != ReasonBackendFailed || answer.Status != 0 {
 		t.Errorf("the call ended with %+v", answer)
 	}
-	if problem != done.Problem {
+	if problem := loggedProblem(effects); problem != done.Problem {
 		t.Errorf("the line in the log says %q, expected %q", problem, done.Problem)
 	}
 	if got := d.forward("copy", map[string]string{"copy": "a", "once": "1", "left": "1000"}); got != "answer copy unknown backend_failed\n" {
@@ -39,6 +26,36 @@
 	}
 }
 
+// loggedProblem returns the problem that the effects log, or an empty text.
+func loggedProblem(effects []Effect) string {
+	for _, effect := range effects {
+		line, _ := effect.(Log)
+		for _, field := range line.Fields {
+			if field.Key == "problem" {
+				return fmt.Sprint(field.Value)
+			}
+		}
+	}
+	return ""
+}
+
+// Guards against a response of another node that is withheld without a word, so that nobody learns which node to upgrade.
+func TestMalformedAnswerOfAnotherNodeIsLogged(t *testing.T) {
+	d := newTestIngress(t)
+	d.reportAll(0)
+	f, _ := d.call(CallArrived{RetriesLeft: -1})
+	done := ForwardDone{
+		Call: f.Call, Attempt: f.Attempt, Result: ForwardAnswered, Outcome: OutcomeUnknown, Reason: ReasonBackendFailed, Problem: "status code 999",
+	}
+	if problem := loggedProblem(d.reduce(done)); problem != done.Problem {
+		t.Errorf("the line in the log says %q, expected %q", problem, done.Problem)
+	}
+	f, _ = d.call(CallArrived{RetriesLeft: -1})
+	if problem := loggedProblem(d.reduce(ForwardDone{Call: f.Call, Attempt: f.Attempt, Result: ForwardAnswered, Outcome: OutcomeDone})); problem != "" {
+		t.Errorf("the line about a good response says %q", problem)
+	}
+}
+
 // Guards against a bad version that is rolled out because its malformed responses count as good ones.
 func TestMalformedResponseCountsAgainstAVersion(t *testing.T) {
 	s := newWorkspaceNode(t, "")
--- a/runner/peer/client.go
+++ b/runner/peer/client.go
@@ -105,7 +105,7 @@
 		}
 		return done, nil
 	}
-	answer.removeMalformed()
+	done.Problem = answer.removeMalformed()
 	done.Result = reducer.ForwardAnswered
 	done.Outcome, done.Reason, done.Status = reducer.Outcome(answer.Outcome), reducer.Reason(answer.Reason), answer.Status
 	done.Load, done.RetriesUsed = answer.Load.toLoadReport(), answer.RetriesUsed
@@ -183,7 +183,7 @@
 	if err != nil {
 		return done, nil
 	}
-	answer.removeMalformed()
+	done.Problem = answer.removeMalformed()
 	done.Outcome, done.Reason, done.Status = reducer.Outcome(answer.Outcome), reducer.Reason(answer.Reason), answer.Status
 	done.Load = answer.Load.toLoadReport()
 	return done, answer.toResponse()
--- a/runner/peer/malformed_test.go
+++ b/runner/peer/malformed_test.go
@@ -70,7 +70,7 @@
 					want = reducer.OutcomeDone
 				}
 				done, got := forwardLong(f, time.Minute)
-				if done.Result != reducer.ForwardAnswered || done.Outcome != want || (got != nil) != c.valid || !c.valid && done.Status != 0 {
+				if done.Result != reducer.ForwardAnswered || done.Outcome != want || (got != nil) != c.valid || (done.Problem == "") != c.valid || !c.valid && done.Status != 0 {
 					t.Errorf("the call ended as %+v with response %v", done, got)
 				}
 				if streaming {
@@ -79,7 +79,7 @@
 				}
 				response.Rest = nil
 				settled, got := f.client.Settle(context.Background(), reducer.Settle{To: f.to})
-				if !settled.Answered || settled.Outcome != want || (got != nil) != c.valid {
+				if !settled.Answered || settled.Outcome != want || (got != nil) != c.valid || (settled.Problem == "") != c.valid {
 					t.Errorf("the question ended as %+v with response %v", settled, got)
 				}
 				record := reducer.KeyRecord{Key: "k", Call: 7, Outcome: reducer.OutcomeDone, Status: c.status}
--- a/runner/peer/wire.go
+++ b/runner/peer/wire.go
@@ -249,12 +249,18 @@
 }
 
 // removeMalformed removes a response that is not valid HTTP: nodes of earlier versions pass on what their backend servers send.
-// The call may have run, so that its outcome becomes unknown.
-func (a *Answer) removeMalformed() {
-	if a.HasResponse && httpresponse.CheckFinal(a.Status, a.Header) != nil {
-		a.Outcome, a.Reason, a.Status = uint8(reducer.OutcomeUnknown), uint8(reducer.ReasonBackendFailed), 0
-		a.HasResponse, a.Header, a.Body = false, nil, nil
+// The call may have run, so that its outcome becomes unknown. removeMalformed returns the problem, or an empty text.
+func (a *Answer) removeMalformed() (problem string) {
+	if !a.HasResponse {
+		return ""
+	}
+	err := httpresponse.CheckFinal(a.Status, a.Header)
+	if err == nil {
+		return ""
 	}
+	a.Outcome, a.Reason, a.Status = uint8(reducer.OutcomeUnknown), uint8(reducer.ReasonBackendFailed), 0
+	a.HasResponse, a.Header, a.Body = false, nil, nil
+	return err.Error()
 }
 
 func (a *Answer) toResponse() *traffic.Response {
