reducer: one set-up for the tests of a node in a roll-out

Cause: the test of malformed responses repeated the one of failures by nested calls. Done: newNodeInRollout; what the tests expect is unchanged.

--- a/reducer/malformed_response_test.go
+++ b/reducer/malformed_response_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 )
 
 // Guards against a call that is reported as not run, or run again, after its backend server sent bytes that are no response, and
@@ -58,12 +56,7 @@
 
 // Guards against a bad version that is rolled out because its malformed responses count as good ones.
 func TestMalformedResponseCountsAgainstAVersion(t *testing.T) {
-	s := newWorkspaceNode(t, "")
-	s.cfg.Rollouts.Enabled = true
-	s.backend.service = "v"
-	s.rollouts.counts = map[string]*rollout.RouteCount{}
-	s.now = 10 * time.Second
-	s.rollouts.view.Apply(rollout.Update{Service: "v", Version: "v2", From: "v1", State: rollout.Running, Share: 0.04, Revision: 1}, s.now)
+	s := newNodeInRollout(t)
 	s.countForRollout("r", BackendRequestDone{Result: BackendMalformed, Elapsed: 100 * time.Millisecond})
 	if c := s.rollouts.counts["r"]; c == nil || c.Calls != 1 || c.Failures != 1 {
 		t.Errorf("counted %+v, expected one failure", c)
--- a/reducer/rollout_failures_test.go
+++ b/reducer/rollout_failures_test.go
@@ -7,15 +7,22 @@
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 )
 
-// Guards against a good version that is rolled back because calls that its backend servers make fail at nodes that have just
-// started, and against a bad one whose own failures do not count.
-func TestFailuresByNestedCallsDoNotCountForAVersion(t *testing.T) {
+// newNodeInRollout returns a node beside a backend server of service v, while version v2 of it is rolled out.
+func newNodeInRollout(t *testing.T) *State {
+	t.Helper()
 	s := newWorkspaceNode(t, "")
 	s.cfg.Rollouts.Enabled = true
 	s.backend.service = "v"
 	s.rollouts.counts = map[string]*rollout.RouteCount{}
 	s.now = 10 * time.Second
 	s.rollouts.view.Apply(rollout.Update{Service: "v", Version: "v2", From: "v1", State: rollout.Running, Share: 0.04, Revision: 1}, s.now)
+	return s
+}
+
+// Guards against a good version that is rolled back because calls that its backend servers make fail at nodes that have just
+// started, and against a bad one whose own failures do not count.
+func TestFailuresByNestedCallsDoNotCountForAVersion(t *testing.T) {
+	s := newNodeInRollout(t)
 	failed := BackendRequestDone{Result: BackendAnswered, Status: 500, Elapsed: 100 * time.Millisecond}
 
 	s.noteCallFailed("p", ReasonDeadline)
