--- a/reducer/handover.go
+++ b/reducer/handover.go
@@ -24,6 +24,7 @@
 	Call      Handle        // handle under which the sending or the receiving node keeps the response
 	KeptBytes int64         // bytes of the response
 	Remaining time.Duration // until the record expires
+	Problem   string        // what is wrong with a response that was not taken over because of it; empty for any other
 }
 
 // startHandOver sends the records of keys to their next owners before this node leaves, so that repeats find the
@@ -103,12 +104,22 @@
 		return
 	}
 	for _, r := range in.Records {
+		s.logMalformedRecord(r)
 		s.takeOverRecord(r)
 	}
 	s.scheduleExpiry()
 	s.emit(AcceptRecords{Exchange: in.Exchange, Accepted: true})
 }
 
+// logMalformedRecord logs why a record comes without its response, so that repeats of its key get an unknown outcome.
+func (s *State) logMalformedRecord(in KeyRecord) {
+	if in.Problem != "" {
+		s.emit(Log{Level: LevelWarn, Message: "response in a record of another node is malformed", PerCall: true, Fields: []Field{
+			{"call", in.ID}, {"route", in.Route}, {"problem", in.Problem},
+		}})
+	}
+}
+
 // takeOverRecord inserts a record that was handed over, unless this node has one for the key. It replaces a fence.
 func (s *State) takeOverRecord(in KeyRecord) {
 	records := &s.target.records
--- a/reducer/malformed_response_test.go
+++ b/reducer/malformed_response_test.go
@@ -79,3 +79,16 @@
 		}
 	}
 }
+
+// Guards against a repeat of a key that gets unknown at the next owner although the run was done, with nothing that says why.
+func TestRecordWithoutItsMalformedResponseIsLogged(t *testing.T) {
+	for _, problem := range []string{"", "status code 999"} {
+		d := newGrowingResponses(t, 1<<20)
+		record := KeyRecord{Route: "r", Key: "k", ID: CallID{Origin: "o", Incarnation: 1, Seq: 9}, Outcome: OutcomeUnknown, Reason: ReasonBackendFailed,
+			Remaining: time.Second, Problem: problem}
+		effects := Reduce(d.state, Event{Now: d.now, Input: RecordsArrived{Exchange: 99, Records: []KeyRecord{record}}})
+		if got := loggedProblem(effects); got != problem {
+			t.Errorf("the log says %q, expected %q", got, problem)
+		}
+	}
+}
--- a/runner/peer/malformed_test.go
+++ b/runner/peer/malformed_test.go
@@ -87,7 +87,7 @@
 				if !f.client.HandOver(context.Background(), handOver, func(reducer.Handle) *traffic.Response { return response }) {
 					t.Fatal("the record was not taken over")
 				}
-				if handler.records[0].Outcome != want || (handler.kept[0] != nil) != c.valid {
+				if handler.records[0].Outcome != want || (handler.kept[0] != nil) != c.valid || (handler.records[0].Problem == "") != c.valid {
 					t.Errorf("the record arrived as %+v with response %v", handler.records[0], handler.kept[0])
 				}
 			})
--- a/runner/peer/wire_records.go
+++ b/runner/peer/wire_records.go
@@ -44,12 +44,12 @@
 	responses := make([]*traffic.Response, len(args.Records))
 	for i := range args.Records {
 		r := &args.Records[i]
-		r.Answer.removeMalformed()
+		problem := r.Answer.removeMalformed()
 		responses[i] = r.Answer.toResponse()
 		records[i] = reducer.KeyRecord{
 			Route: r.Route, Key: r.Key, ID: r.ID.toCallID(), Remaining: time.Duration(r.Remaining),
 			Outcome: reducer.Outcome(r.Answer.Outcome), Reason: reducer.Reason(r.Answer.Reason), Status: r.Answer.Status,
-			KeptBytes: int64(len(r.Answer.Body)),
+			KeptBytes: int64(len(r.Answer.Body)), Problem: problem,
 		}
 	}
 	reply.Accepted = s.handler.HandOver(records, responses)
