reducer: log lines that say what a leave is kept by and what a restarted node learns of it

The log had no line that told the hypotheses apart: (a) the confirmation came before the leave was stored, (b) the record was stored and is gone, (c) the restarted node does not wait for the answer. New lines: "leave of the backend server is confirmed" with stored=true|false, "record of a leave was read" with the result and whether a registration still waits for it, and "registration is taken without an answer of the store" with both sequences.

--- a/reducer/event.go
+++ b/reducer/event.go
@@ -354,6 +354,15 @@
 	StoreConflict    // nothing was written: another writer was first
 )
 
+var storeResultNames = [...]string{"", "ok", "absent", "unchanged", "history_gone", "no_lease", "unknown", "malformed", "conflict"}
+
+func (r StoreResult) String() string {
+	if int(r) < len(storeResultNames) {
+		return storeResultNames[r]
+	}
+	return "invalid"
+}
+
 // TablesChecked reports the result of a CheckTables effect.
 type TablesChecked struct {
 	Document tables.Document
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -109,6 +109,8 @@
 func (s *State) readDeregistration(in BackendRegistered) {
 	r := &s.registration
 	if r.unconfirmed != nil && r.unconfirmed.Instance == in.Instance && in.Sequence > r.unconfirmed.Sequence {
+		s.log(LevelInfo, "registration is taken without an answer of the store", Field{"instance", in.Instance}, Field{"born", in.Born},
+			Field{"sequence", in.Sequence}, Field{"earlier_sequence", r.unconfirmed.Sequence})
 		s.applyRegistration(in)
 		return
 	}
@@ -120,6 +122,8 @@
 
 func (s *State) handleDeregistrationRead(in DeregistrationRead) {
 	r := &s.registration
+	s.log(LevelInfo, "record of a leave was read", Field{"instance", in.Instance}, Field{"result", in.Result.String()}, Field{"left_born", in.At},
+		Field{"awaited", r.unconfirmed != nil && r.unconfirmed.Instance == in.Instance})
 	if r.unconfirmed == nil || r.unconfirmed.Instance != in.Instance {
 		return
 	}
@@ -279,9 +283,11 @@
 
 // acknowledgeDeregistration acknowledges a deregistration, unless that has been done.
 func (s *State) acknowledgeDeregistration(exchange Handle) {
-	if _, waiting := s.registration.pendingDeregistrations[exchange]; !waiting {
+	d, waiting := s.registration.pendingDeregistrations[exchange]
+	if !waiting {
 		return
 	}
+	s.log(LevelInfo, "leave of the backend server is confirmed", Field{"instance", d.instance}, Field{"born", d.at}, Field{"stored", s.registration.stored.covers(d)})
 	delete(s.registration.pendingDeregistrations, exchange)
 	s.timers.cancel(timerKey{kind: timerDeregistrationAck, call: exchange})
 	s.acknowledge(exchange)
