--- a/internal/faultmatrix/combined.go
+++ b/internal/faultmatrix/combined.go
@@ -44,10 +44,30 @@
 			w.After(25*time.Millisecond, func() { sendFlood(w, "/bulk", 30) })
 		}, Length: 700 * time.Millisecond, Sampled: true},
 		{Name: "backend server leaves twice under one name", Begin: leaveTwice, Length: 9 * time.Second, Sampled: true},
+		{Name: "backend server leaves while the store is down", Begin: leaveInOutage, Length: 8 * time.Second, Sampled: true},
 		regionsScenario,
 	}
 }
 
+// leaveInOutage lets a backend server leave while the store is down. Then the process of its node is killed, the store comes back, and a
+// registration from before the leave arrives.
+func leaveInOutage(w *pump.World) {
+	target := w.Node(Target)
+	target.DelayRegistration(2700 * time.Millisecond)
+	w.Store.Down = true
+	w.After(200*time.Millisecond, target.DeregisterBackend)
+	w.After(800*time.Millisecond, target.RestartProcess)
+	w.After(1900*time.Millisecond, w.Store.Heal)
+	sendAfterLeave(w, 4*time.Second)
+}
+
+// sendAfterLeave sends requests for 3 s, which no backend server may get that left 3 s before them.
+func sendAfterLeave(w *pump.World, from time.Duration) {
+	for i := range 30 {
+		w.After(from+time.Duration(100*i)*time.Millisecond, func() { sendRequest(w, Ingress, fmt.Sprint("r", i), "/dues", "", false) })
+	}
+}
+
 // leaveTwice lets a backend server leave, start again under its instance and leave again. Then the process of its node is
 // killed, and a registration from before the second leave arrives.
 func leaveTwice(w *pump.World) {
@@ -59,9 +79,7 @@
 		target.DeregisterBackend()
 	})
 	w.After(4*time.Second, target.RestartProcess)
-	for i := range 30 {
-		w.After(time.Duration(5500+100*i)*time.Millisecond, func() { sendRequest(w, Ingress, fmt.Sprint("r", i), "/dues", "", false) })
-	}
+	sendAfterLeave(w, 5500*time.Millisecond)
 }
 
 // stopUnderOpenConnections stops a node whose callers go on using their connections, with requests that take long.
--- a/internal/pump/faults.go
+++ b/internal/pump/faults.go
@@ -168,17 +168,18 @@
 	n.after(lateRegistrationDelay, func() { n.reduce(late) })
 }
 
-// sendDeregistration sends a deregistration, and again if the process of the node ends before it acknowledges it.
+// sendDeregistration sends a deregistration, and again if it is refused or the process of the node ends before it acknowledges
+// it.
 func (n *Node) sendDeregistration(instance string, born int64) {
 	if n.Backend.born != born || !n.Backend.Up {
 		return
 	}
 	n.world.History.DrainingSince[n.ID] = n.world.Now
-	processSeq, acknowledged := n.processSeq, false
-	exchange := n.addGoroutine(&goroutine{onAcknowledged: func() { acknowledged = true }})
+	processSeq, acknowledged, refused := n.processSeq, false, false
+	exchange := n.addGoroutine(&goroutine{onAcknowledged: func(kept bool) { acknowledged, refused = kept, !kept }})
 	n.post(0, reducer.BackendDeregistered{Instance: instance, Born: born, Exchange: exchange})
 	n.world.After(leaveRetryInterval, func() {
-		if !acknowledged && n.processSeq != processSeq {
+		if refused || !acknowledged && n.processSeq != processSeq {
 			n.sendDeregistration(instance, born)
 		}
 	})
--- a/internal/pump/perform.go
+++ b/internal/pump/perform.go
@@ -86,7 +86,7 @@
 		n.endWhenIdle()
 	case reducer.AcknowledgeBackend:
 		if g := n.traffic[e.Exchange]; g != nil {
-			g.onAcknowledged()
+			g.onAcknowledged(!e.Refused)
 			delete(n.traffic, e.Exchange)
 		}
 	case reducer.ConfigureBackend, reducer.CallFinished, reducer.CallQueued, reducer.Log, reducer.AnswerStatus, reducer.QuotaStats, reducer.RolloutObserved:
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -129,7 +129,7 @@
 	onGrowth   func(allowed bool)
 	onUpload   func(answer reducer.AnswerUpload)
 
-	onAcknowledged func()
+	onAcknowledged func(kept bool)
 	responses      map[int]invariant.Request // by attempt
 	localResponse  invariant.Request
 	execution      int  // index in History.Executions
--- /dev/null
+++ b/reducer/deregistration/deregistration_test.go
@@ -0,0 +1,89 @@
+package deregistration
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Guards against holders that lie in one zone, and against other ones for the process that follows.
+func TestHoldersAreTheSameAndSpread(t *testing.T) {
+	var peers []Peer
+	for i := range 12 {
+		peers = append(peers, Peer{Node: fmt.Sprint("n", i), Zone: fmt.Sprint("z", i%3), Weight: uint64(i * 7919 % 101)})
+	}
+	first := Holders(peers, 3)
+	zones := map[string]bool{}
+	for _, p := range peers {
+		if slices.Contains(first, p.Node) {
+			zones[p.Zone] = true
+		}
+	}
+	if len(first) != 3 || len(zones) != 3 {
+		t.Errorf("holders %v are in zones %v, expected three zones", first, zones)
+	}
+	slices.Reverse(peers)
+	if again := Holders(peers, 5); len(again) != 5 || !slices.Equal(again[:3], first) {
+		t.Errorf("holders are %v, expected to begin with %v", again, first)
+	}
+	if few := Holders(peers[:2], 5); len(few) != 2 {
+		t.Errorf("two nodes give %d holders", len(few))
+	}
+}
+
+// Guards against a ledger that forgets the newest deregistration when another writer fills it with others.
+func TestLedgerForgetsTheOldestFirst(t *testing.T) {
+	var l Ledger
+	for i := range 3 * maxInstances {
+		l.Note(Record{fmt.Sprint("i", i), 5}, Final, time.Duration(i))
+		if !l.Applies(fmt.Sprint("i", i), 5) || i > 0 && !l.Applies(fmt.Sprint("i", i-1), 5) {
+			t.Fatalf("after %d instances one of the newest two is forgotten", i+1)
+		}
+	}
+	if n := len(l.Records()); n != maxInstances {
+		t.Errorf("%d records are kept, expected %d", n, maxInstances)
+	}
+}
+
+// Guards against a record that counts as kept because an older one of the same instance is.
+func TestKeptAppliesToTheNewestRecord(t *testing.T) {
+	var l Ledger
+	older, newer := Record{"a", 1}, Record{"a", 2}
+	l.Note(older, Final, 0)
+	l.Stored(older)
+	l.HeldBy("p1", older)
+	l.HeldBy("p2", older)
+	if !l.Kept(older, 5) || l.Kept(newer, 5) {
+		t.Errorf("kept: older %v, newer %v", l.Kept(older, 5), l.Kept(newer, 5))
+	}
+	l.Note(newer, Final, 0)
+	l.HeldBy("p1", older)
+	l.HeldBy("p1", newer)
+	if l.Kept(newer, 5) || !l.Kept(newer, 1) {
+		t.Errorf("held by one node: kept among five %v, among one %v", l.Kept(newer, 5), l.Kept(newer, 1))
+	}
+	if l.HeldBy("p2", newer); !l.Kept(newer, 5) || len(l.Unstored()) != 1 {
+		t.Error("held by two nodes and not stored: not kept, or not written again")
+	}
+}
+
+// Guards against records that a node holds for others without bound.
+func TestKeeperIsBounded(t *testing.T) {
+	var k Keeper
+	records := make([]Record, 2*maxHeld)
+	for i := range records {
+		records[i] = Record{fmt.Sprint("i", i), 5}
+	}
+	for i := range maxOwners + 10 {
+		if held := k.Keep(fmt.Sprint("n", i), records[:1+i%2], time.Duration(i)); len(held) != 1+i%2 {
+			t.Fatalf("owner %d: %d records are held", i, len(held))
+		}
+	}
+	if held := k.Keep("n4100", records, time.Minute); len(held) != maxHeld || len(k.owners) != maxOwners {
+		t.Errorf("%d records of one owner and %d owners, expected %d and %d", len(held), len(k.owners), maxHeld, maxOwners)
+	}
+	if held := k.Keep("n4100", nil, time.Minute+Retention+1); held != nil {
+		t.Errorf("%d records are held after the retention", len(held))
+	}
+}
--- /dev/null
+++ b/reducer/deregistrations.go
@@ -0,0 +1,257 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/deregistration"
+)
+
+const (
+	// deregistrationTTL is how long the platform's store keeps a deregistration: longer than a backend server serves after
+	// it.
+	deregistrationTTL = time.Minute
+	// deregistrationStoreTimeout bounds the wait for the store alone. Then other nodes are asked as well to hold a deregistration.
+	deregistrationStoreTimeout = 400 * time.Millisecond
+	// deregistrationAckTimeout bounds the wait for the acknowledgement. Backend servers wait 1 s for it.
+	deregistrationAckTimeout = 800 * time.Millisecond
+	// deregistrationRetryInterval is the pause after which deregistrations that are not stored are written again.
+	deregistrationRetryInterval = 500 * time.Millisecond
+)
+
+const (
+	// askedHolders is how many nodes are asked to hold a deregistration: one more than have to.
+	askedHolders = 3
+	// inquiryInterval is how often a node that holds a registration back looks for more nodes to ask.
+	inquiryInterval = 100 * time.Millisecond
+	// askedForHeld is how many nodes a process that has started asks for what they hold. Some of those that were asked to hold it
+	// may have gone.
+	askedForHeld = 5
+)
+
+// deregistrationOf returns the deregistration of an incarnation; born is 0 when its message does not name it. Then it applies
+// to all that have started by now, and to the one held, whose clock may be ahead. A message that is repeated is the same
+// deregistration.
+func (s *State) deregistrationOf(instance string, born int64) deregistration.Record {
+	r := &s.registration
+	if born != 0 {
+		return deregistration.Record{Instance: instance, At: born}
+	}
+	held := int64(0)
+	if r.incarnation.instance == instance {
+		held = r.incarnation.born
+	}
+	if known, ok := r.ledger.Find(instance); ok && known.At >= held {
+		return known
+	}
+	return deregistration.Record{Instance: instance, At: max(s.wallClockMillis(), held)}
+}
+
+// handleBackendDeregistered applies a deregistration. One of an unknown backend server is remembered as well, because
+// an earlier registration may still arrive.
+func (s *State) handleBackendDeregistered(in BackendDeregistered) {
+	r := &s.registration
+	if in.Born != 0 && in.Instance == r.incarnation.instance && in.Born < r.incarnation.born {
+		s.log(LevelInfo, "leave of another life of the backend server", Field{"instance", in.Instance}, Field{"held_born", r.incarnation.born})
+		s.acknowledge(in.Exchange)
+		return
+	}
+	d := s.deregistrationOf(in.Instance, in.Born)
+	s.applyDeregistration(d)
+	s.keepDeregistration(in.Exchange, d)
+}
+
+// applyDeregistration records a deregistration. Its backend server gets no new calls.
+func (s *State) applyDeregistration(d deregistration.Record) {
+	b, r := &s.backend, &s.registration
+	before := *b
+	r.ledger.Note(d, deregistration.Final, s.now)
+	if r.unconfirmed != nil && r.ledger.Applies(r.unconfirmed.Instance, r.unconfirmed.Born) {
+		r.unconfirmed = nil
+	}
+	if b.state == UpstreamReady && r.ledger.Applies(r.incarnation.instance, r.incarnation.born) {
+		b.state = UpstreamDraining
+	}
+	s.applyBackendChange(before)
+}
+
+// keepDeregistration acknowledges a deregistration once it is kept outside this process, which may end before the backend server
+// does: by the platform's store or, if that does not answer in time, by other nodes.
+func (s *State) keepDeregistration(exchange Handle, d deregistration.Record) {
+	r := &s.registration
+	if !s.cfg.Discover || r.ledger.Kept(d, s.members.livePeers) {
+		s.acknowledge(exchange)
+		return
+	}
+	r.ledger.Note(d, deregistration.Draining, s.now)
+	if exchange != 0 {
+		r.ledger.Await(deregistration.Exchange(exchange), d)
+		s.timers.set(timerKey{kind: timerDeregistrationHolders, call: exchange}, s.now+deregistrationStoreTimeout)
+		s.timers.set(timerKey{kind: timerDeregistrationAck, call: exchange}, s.now+deregistrationAckTimeout)
+	}
+	s.emit(StoreDeregistration{Exchange: exchange, Instance: d.Instance, At: d.At, TTL: deregistrationTTL})
+}
+
+// handleDeregistrationStored acknowledges a deregistration that is stored. One that is not is written again, and other nodes hold it
+// meanwhile.
+func (s *State) handleDeregistrationStored(in DeregistrationStored) {
+	r, d := &s.registration, deregistration.Record{Instance: in.Instance, At: in.At}
+	if in.Result == StoreOK {
+		r.ledger.Stored(d)
+		s.acknowledgeKept()
+		return
+	}
+	s.log(LevelWarn, "leave of the backend server is not stored", Field{"instance", in.Instance}, Field{"born", in.At}, Field{"result", in.Result.String()})
+	s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now+deregistrationRetryInterval)
+	s.askToHold(in.Exchange)
+}
+
+// retryDeregistrations writes the deregistrations that are not stored again.
+func (s *State) retryDeregistrations() {
+	for _, d := range s.registration.ledger.Unstored() {
+		s.emit(StoreDeregistration{Instance: d.Instance, At: d.At, TTL: deregistrationTTL})
+	}
+}
+
+// askToHold asks other nodes to hold a deregistration that an exchange waits for.
+func (s *State) askToHold(exchange Handle) {
+	d, waiting := s.registration.ledger.Waiting(deregistration.Exchange(exchange))
+	if !waiting {
+		return
+	}
+	for _, node := range s.holders(askedHolders) {
+		s.emit(Send{To: s.members.table[NodeID(node)].Ref(), Message: HoldDeregistrations{Records: []deregistration.Record{d}}})
+	}
+}
+
+// holders returns n nodes that hold the deregistrations of this one.
+func (s *State) holders(n int) []string {
+	var peers []deregistration.Peer
+	for _, m := range s.members.sorted() {
+		if m.Node != s.cfg.Self && m.State == MemberAlive {
+			peers = append(peers, deregistration.Peer{Node: string(m.Node), Zone: m.Zone, Weight: hashString(string(s.cfg.Self), "\x00", string(m.Node))})
+		}
+	}
+	return deregistration.Holders(peers, n)
+}
+
+// handleHoldDeregistrations holds deregistrations for another node.
+func (s *State) handleHoldDeregistrations(from PeerRef, in HoldDeregistrations) {
+	held := s.registration.keeper.Keep(string(from.Node), in.Records, s.now)
+	s.emit(Send{To: from, Message: DeregistrationsHeld{Records: held}})
+}
+
+// handleDeregistrationsHeld acknowledges deregistrations that other nodes hold, and applies those that an earlier process of this
+// node asked them to hold.
+func (s *State) handleDeregistrationsHeld(from PeerRef, in DeregistrationsHeld) {
+	r := &s.registration
+	for _, d := range in.Records {
+		if !r.ledger.Applies(d.Instance, d.At) {
+			s.log(LevelInfo, "leave of the backend server is known to another node", Field{"instance", d.Instance}, Field{"born", d.At}, Field{"from", from.Node})
+			s.applyDeregistration(d)
+			s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now)
+		}
+		r.ledger.HeldBy(string(from.Node), d)
+	}
+	s.acknowledgeKept()
+	if r.unconfirmed != nil {
+		r.inquiry.Answered(string(from.Node))
+		s.concludeInquiry()
+	}
+}
+
+// acknowledgeKept acknowledges the deregistrations that are kept by now.
+func (s *State) acknowledgeKept() {
+	r := &s.registration
+	for _, exchange := range r.ledger.TakeKept(s.members.livePeers) {
+		s.cancelDeregistrationTimers(Handle(exchange))
+		s.log(LevelInfo, "leave of the backend server is confirmed", Field{"exchange", uint64(exchange)}, Field{"unstored", len(r.ledger.Unstored())})
+		s.acknowledge(Handle(exchange))
+	}
+}
+
+// refuseDeregistration tells the backend server that its deregistration is not kept. It gets no new calls all the same, and
+// repeats the deregistration.
+func (s *State) refuseDeregistration(exchange Handle) {
+	r := &s.registration
+	d, waiting := r.ledger.Waiting(deregistration.Exchange(exchange))
+	if !waiting {
+		return
+	}
+	r.ledger.End(deregistration.Exchange(exchange))
+	s.cancelDeregistrationTimers(exchange)
+	s.log(LevelWarn, "leave of the backend server is not confirmed", Field{"instance", d.Instance}, Field{"born", d.At}, Field{"peers", s.members.livePeers})
+	s.emit(AcknowledgeBackend{Exchange: exchange, Refused: true})
+}
+
+func (s *State) cancelDeregistrationTimers(exchange Handle) {
+	s.timers.cancel(timerKey{kind: timerDeregistrationHolders, call: exchange})
+	s.timers.cancel(timerKey{kind: timerDeregistrationAck, call: exchange})
+}
+
+// isOlderThanProcess reports whether an incarnation started before this process, and has not registered with it yet. Its
+// registration may date from before a deregistration that an earlier process of this node acknowledged.
+func (s *State) isOlderThanProcess(in BackendRegistered) bool {
+	if !s.cfg.Discover || in.Born == 0 || s.registration.incarnation == (backendIncarnation{in.Instance, in.Born}) {
+		return false
+	}
+	return in.Born < s.startMillis()
+}
+
+// startMillis returns the start of this process in Unix milliseconds.
+func (s *State) startMillis() int64 { return int64(time.Duration(s.cfg.Incarnation) / time.Millisecond) }
+
+// inquire asks the store, and the nodes that hold deregistrations for this one, whether an incarnation has deregistered. Without an answer of
+// the store a registration with a higher sequence proves that it has not: an incarnation that has deregistered sends none.
+func (s *State) inquire(in BackendRegistered) {
+	r := &s.registration
+	if r.unconfirmed != nil && r.unconfirmed.Instance == in.Instance && in.Sequence > r.unconfirmed.Sequence {
+		s.log(LevelInfo, "registration is taken without an answer of the store", Field{"instance", in.Instance}, Field{"born", in.Born},
+			Field{"sequence", in.Sequence}, Field{"earlier_sequence", r.unconfirmed.Sequence})
+		s.applyRegistration(in)
+		return
+	}
+	switch held := r.unconfirmed; {
+	case held == nil || in.Born > held.Born || in.Born == held.Born && in.Instance != held.Instance:
+		r.unconfirmed, r.inquiry = &in, deregistration.NewInquiry(s.now)
+	case in.Born == held.Born && in.Sequence > held.Sequence:
+		r.unconfirmed = &in
+	}
+	s.emit(ReadDeregistration{Instance: in.Instance})
+	s.advanceInquiry()
+}
+
+// advanceInquiry asks nodes for the deregistrations that they hold, until the registration that was held back is decided.
+func (s *State) advanceInquiry() {
+	r := &s.registration
+	if r.unconfirmed == nil {
+		return
+	}
+	for _, node := range r.inquiry.Ask(s.holders(askedForHeld), s.now) {
+		s.emit(Send{To: s.members.table[NodeID(node)].Ref(), Message: HoldDeregistrations{}})
+	}
+	s.timers.set(timerKey{kind: timerDeregistrationInquiry}, s.now+inquiryInterval)
+	s.concludeInquiry()
+}
+
+func (s *State) handleDeregistrationRead(in DeregistrationRead) {
+	r := &s.registration
+	awaited := r.unconfirmed != nil && r.unconfirmed.Instance == in.Instance
+	s.log(LevelInfo, "record of a leave was read", Field{"instance", in.Instance}, Field{"result", in.Result.String()}, Field{"left_born", in.At}, Field{"awaited", awaited})
+	if in.Result == StoreOK {
+		d := deregistration.Record{Instance: in.Instance, At: in.At}
+		s.applyDeregistration(d)
+		r.ledger.Stored(d)
+	}
+	if awaited && (in.Result == StoreOK || in.Result == StoreAbsent) { // the record may be of another incarnation
+		r.inquiry.Absent()
+	}
+	s.concludeInquiry()
+}
+
+// concludeInquiry makes the registration that was held back the current one once its incarnation is known not to have deregistered.
+func (s *State) concludeInquiry() {
+	r := &s.registration
+	if r.unconfirmed != nil && r.inquiry.Cleared(s.now) {
+		s.applyRegistration(*r.unconfirmed)
+	}
+}
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -208,7 +208,11 @@
 type ReadDeregistration struct{ Instance string }
 
 // AcknowledgeBackend answers BackendRegistered or BackendDeregistered.
-type AcknowledgeBackend struct{ Exchange Handle }
+type AcknowledgeBackend struct {
+	Exchange Handle
+	// Refused is set if a deregistration is not kept outside this process. The backend server has to repeat it.
+	Refused bool
+}
 
 // ListNodes reads the entries of all nodes from the platform's store. They may be seconds out of date.
 type ListNodes struct{}
--- a/reducer/members.go
+++ b/reducer/members.go
@@ -408,5 +408,9 @@
 		s.observeRolloutReport(in.From.Node, message.Report)
 	case RolloutFetch:
 		s.handleRolloutFetch(in.From)
+	case HoldDeregistrations:
+		s.handleHoldDeregistrations(in.From, message)
+	case DeregistrationsHeld:
+		s.handleDeregistrationsHeld(in.From, message)
 	}
 }
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -260,10 +260,14 @@
 		s.readStore()
 	case timerStoreWatch:
 		s.watchStore()
+	case timerDeregistrationHolders:
+		s.askToHold(key.call)
 	case timerDeregistrationAck:
-		s.acknowledgeDeregistration(key.call)
+		s.refuseDeregistration(key.call)
 	case timerDeregistrationRetry:
-		s.retryDeregistration()
+		s.retryDeregistrations()
+	case timerDeregistrationInquiry:
+		s.advanceInquiry()
 	case timerReaderCheck:
 		s.checkReader()
 	case timerAnnounceNode:
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -21,8 +21,10 @@
 	timerStoreRead
 	timerStoreWatch
 	timerReaderCheck
+	timerDeregistrationHolders
 	timerDeregistrationAck
 	timerDeregistrationRetry
+	timerDeregistrationInquiry
 	timerAnnounceNode
 	timerListNodes
 	timerStartupFetch
--- a/runner/backend/register.go
+++ b/runner/backend/register.go
@@ -108,7 +108,12 @@
 	timer := time.NewTimer(ackTimeout)
 	defer timer.Stop()
 	select {
-	case <-mailbox.Effects: // AcknowledgeBackend is the only effect of this exchange
+	case effect := <-mailbox.Effects:
+		if answer, ok := effect.(reducer.AcknowledgeBackend); ok && answer.Refused {
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "neither the platform's store nor other nodes have taken the deregistration", http.StatusServiceUnavailable)
+			return
+		}
 	case <-r.Context().Done():
 		return
 	case <-timer.C:
--- a/runner/backend/register_test.go
+++ b/runner/backend/register_test.go
@@ -67,3 +67,22 @@
 		t.Errorf("unexpected event %+v", deregistered)
 	}
 }
+
+// refuser refuses deregistrations.
+type refuser struct{ mailboxes *traffic.Mailboxes }
+
+func (r refuser) Post(input reducer.Input) bool {
+	r.mailboxes.Deliver(reducer.AcknowledgeBackend{Exchange: input.(reducer.BackendDeregistered).Exchange, Refused: true})
+	return true
+}
+
+// Guards against a deregistration that is confirmed to the backend server although it is kept nowhere (review/10).
+func TestRefusedDeregistrationIsNotConfirmed(t *testing.T) {
+	mailboxes := traffic.NewMailboxes()
+	handler := RegisterHandler(refuser{mailboxes}, mailboxes, Expected{})
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, DeregisterPath+"a", strings.NewReader(`{"born":17}`)))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("status %d, Retry-After %q, expected 503 with a time", w.Code, w.Header().Get("Retry-After"))
+	}
+}
--- a/runner/peer/kind.go
+++ b/runner/peer/kind.go
@@ -39,6 +39,10 @@
 		return "rollout_report"
 	case control.RolloutFetch != nil:
 		return "rollout_fetch"
+	case control.HoldDeregistrations != nil:
+		return "hold_deregistrations"
+	case control.DeregistrationsHeld != nil:
+		return "deregistrations_held"
 	default:
 		return kindOther
 	}
--- a/runner/peer/wire_control.go
+++ b/runner/peer/wire_control.go
@@ -20,6 +20,9 @@
 	RolloutUpdates *RolloutUpdates
 	RolloutReport  *RolloutReport
 	RolloutFetch   *RolloutFetch
+
+	HoldDeregistrations *Deregistrations
+	DeregistrationsHeld *Deregistrations
 }
 
 // Version is tables.VersionID on the wire.
@@ -82,6 +85,10 @@
 		return &ControlArgs{QuotaRequest: wireQuotaRequest(m)}
 	case reducer.QuotaGrant:
 		return &ControlArgs{QuotaGrant: wireQuotaGrant(m)}
+	case reducer.HoldDeregistrations:
+		return &ControlArgs{HoldDeregistrations: wireDeregistrations(m.Records)}
+	case reducer.DeregistrationsHeld:
+		return &ControlArgs{DeregistrationsHeld: wireDeregistrations(m.Records)}
 	default:
 		return wireRollout(message)
 	}
@@ -107,6 +114,10 @@
 		return a.QuotaRequest.toMessage(), nil
 	case a.QuotaGrant != nil:
 		return a.QuotaGrant.toMessage(), nil
+	case a.HoldDeregistrations != nil:
+		return reducer.HoldDeregistrations{Records: a.HoldDeregistrations.toRecords()}, nil
+	case a.DeregistrationsHeld != nil:
+		return reducer.DeregistrationsHeld{Records: a.DeregistrationsHeld.toRecords()}, nil
 	default:
 		return a.toRolloutMessage(), nil
 	}
