--- a/internal/faultmatrix/combined.go
+++ b/internal/faultmatrix/combined.go
@@ -45,10 +45,22 @@
 		}, Length: 700 * time.Millisecond, Sampled: true},
 		{Name: "backend server leaves twice under one name", Begin: leaveTwice, Length: 9 * time.Second, Sampled: true},
 		{Name: "backend server leaves while the store is down", Begin: leaveInOutage, Length: 8 * time.Second, Sampled: true},
+		{Name: "backend server leaves, two registrations are late", Begin: leaveBeforeTwoLateRegistrations, Length: 8 * time.Second, Sampled: true},
 		regionsScenario,
 	}
 }
 
+// leaveBeforeTwoLateRegistrations lets a backend server leave. Then the process of its node is killed, and two registrations from before the
+// leave arrive, one right after the other.
+func leaveBeforeTwoLateRegistrations(w *pump.World) {
+	target := w.Node(Target)
+	target.DelayRegistration(1500 * time.Millisecond)
+	target.DelayRegistration(1501 * time.Millisecond)
+	w.After(10*time.Millisecond, target.DeregisterBackend)
+	w.After(800*time.Millisecond, target.RestartProcess)
+	sendAfterLeave(w, 4*time.Second)
+}
+
 // leaveInOutage lets a backend server leave while the store is down. Then the process of its node is killed, the store comes back, and a
 // registration from before the leave arrives.
 func leaveInOutage(w *pump.World) {
--- a/reducer/deregistration/inquiry.go
+++ b/reducer/deregistration/inquiry.go
@@ -7,6 +7,9 @@
 	answerTimeout = 500 * time.Millisecond
 	// joinTimeout bounds the wait of a process that knows no other node yet.
 	joinTimeout = time.Second
+	// MaxDelay is the longest time for which a registration can be on its way. One that arrives later than this after the start of a process
+	// was sent after the start, by an incarnation that has not deregistered before it.
+	MaxDelay = 6 * time.Second
 )
 
 // Inquiry is what a process has found out about an incarnation that started before it, and whose deregistration an earlier process may have
@@ -15,6 +18,9 @@
 	begunAt     time.Duration
 	askedAt     time.Duration   // when the first nodes were asked
 	storeAbsent bool            // the store has no record of it
+	storeLost   bool            // the store has left a call without an answer since the start of the process
+	fresh       bool            // it has registered later than MaxDelay after the start of the process
+	older       bool            // a node has answered that is older than the process
 	answered    map[string]bool // the nodes that were asked, and whether they have answered
 }
 
@@ -38,20 +44,33 @@
 	return added
 }
 
-// Answered notes that a node has answered.
-func (q *Inquiry) Answered(node string) {
+// Answered notes that a node has answered, and whether it has run for longer than this process.
+func (q *Inquiry) Answered(node string, older bool) {
 	if _, asked := q.answered[node]; asked {
 		q.answered[node] = true
+		q.older = q.older || older
 	}
 }
 
 // Absent notes that the store has no record of the incarnation.
 func (q *Inquiry) Absent() { q.storeAbsent = true }
 
-// Cleared reports whether the incarnation is known not to have deregistered: the store has no record of it, and neither has any of the nodes
-// that hold records while the store does not answer.
+// IsAbsent reports whether the store has said that it has no record of the incarnation.
+func (q *Inquiry) IsAbsent() bool { return q.storeAbsent }
+
+// StoreLost notes that the store has left a call of this process without an answer.
+func (q *Inquiry) StoreLost() { q.storeLost = true }
+
+// Registered notes that a registration of the incarnation has arrived.
+func (q *Inquiry) Registered(sinceStart time.Duration) {
+	q.fresh = q.fresh || sinceStart >= MaxDelay
+}
+
+// Cleared reports whether the incarnation is known not to have deregistered. Either the store has no record of it and neither has any of the nodes
+// that hold records while the store does not answer, or it has registered so late that the registration cannot be one of before. The store's word is not enough in an
+// outage that began before this process if no older node is left: the record may have been held by nodes that have ended.
 func (q *Inquiry) Cleared(now time.Duration) bool {
-	return q.storeAbsent && q.peersDone(now)
+	return q.peersDone(now) && (q.fresh || q.storeAbsent && (q.older || !q.storeLost))
 }
 
 // peersDone reports whether no more answers of other nodes are expected.
--- a/reducer/deregistrations.go
+++ b/reducer/deregistrations.go
@@ -154,7 +154,7 @@
 	}
 	s.acknowledgeKept()
 	if r.unconfirmed != nil {
-		r.inquiry.Answered(string(from.Node))
+		r.inquiry.Answered(string(from.Node), from.Incarnation < s.cfg.Incarnation)
 		s.concludeInquiry()
 	}
 }
@@ -198,24 +198,24 @@
 }
 
 // startMillis returns the start of this process in Unix milliseconds.
-func (s *State) startMillis() int64 { return int64(time.Duration(s.cfg.Incarnation) / time.Millisecond) }
+func (s *State) startMillis() int64 {
+	return int64(time.Duration(s.cfg.Incarnation) / time.Millisecond)
+}
 
-// inquire asks the store, and the nodes that hold deregistrations for this one, whether an incarnation has deregistered. Without an answer of
-// the store a registration with a higher sequence proves that it has not: an incarnation that has deregistered sends none.
+// inquire asks the store, and the nodes that hold deregistrations for this one, whether an incarnation has deregistered. Further registrations
+// prove nothing: they may have been sent before it, too.
 func (s *State) inquire(in BackendRegistered) {
 	r := &s.registration
-	if r.unconfirmed != nil && r.unconfirmed.Instance == in.Instance && in.Sequence > r.unconfirmed.Sequence {
-		s.log(LevelInfo, "registration is taken without an answer of the store", Field{"instance", in.Instance}, Field{"born", in.Born},
-			Field{"sequence", in.Sequence}, Field{"earlier_sequence", r.unconfirmed.Sequence})
-		s.applyRegistration(in)
-		return
-	}
 	switch held := r.unconfirmed; {
 	case held == nil || in.Born > held.Born || in.Born == held.Born && in.Instance != held.Instance:
 		r.unconfirmed, r.inquiry = &in, deregistration.NewInquiry(s.now)
 	case in.Born == held.Born && in.Sequence > held.Sequence:
 		r.unconfirmed = &in
 	}
+	if r.storeLost {
+		r.inquiry.StoreLost()
+	}
+	r.inquiry.Registered(s.now)
 	s.emit(ReadDeregistration{Instance: in.Instance})
 	s.advanceInquiry()
 }
@@ -233,25 +233,50 @@
 	s.concludeInquiry()
 }
 
+// handleDeregistrationRead applies the record of a deregistration, whether or not its incarnation is in use by now.
 func (s *State) handleDeregistrationRead(in DeregistrationRead) {
 	r := &s.registration
 	awaited := r.unconfirmed != nil && r.unconfirmed.Instance == in.Instance
 	s.log(LevelInfo, "record of a leave was read", Field{"instance", in.Instance}, Field{"result", in.Result.String()}, Field{"left_born", in.At}, Field{"awaited", awaited})
-	if in.Result == StoreOK {
+	s.noteStoreAnswer(in.Result != StoreUnknown)
+	switch in.Result {
+	case StoreOK:
 		d := deregistration.Record{Instance: in.Instance, At: in.At}
 		s.applyDeregistration(d)
 		r.ledger.Stored(d)
+	case StoreAbsent:
+	default:
+		if awaited {
+			r.inquiry.StoreLost()
+		}
+		return
+	}
+	if r.unverified.instance == in.Instance {
+		r.unverified = backendIncarnation{}
 	}
-	if awaited && (in.Result == StoreOK || in.Result == StoreAbsent) { // the record may be of another incarnation
+	if r.unconfirmed != nil && awaited { // the record, if there is one, is of another incarnation
 		r.inquiry.Absent()
+		s.concludeInquiry()
 	}
-	s.concludeInquiry()
 }
 
 // concludeInquiry makes the registration that was held back the current one once its incarnation is known not to have deregistered.
 func (s *State) concludeInquiry() {
 	r := &s.registration
-	if r.unconfirmed != nil && r.inquiry.Cleared(s.now) {
-		s.applyRegistration(*r.unconfirmed)
+	if r.unconfirmed == nil || !r.inquiry.Cleared(s.now) {
+		return
+	}
+	in := *r.unconfirmed
+	if !r.inquiry.IsAbsent() {
+		s.log(LevelInfo, "registration is taken without an answer of the store", Field{"instance", in.Instance}, Field{"born", in.Born}, Field{"sequence", in.Sequence})
+		r.unverified = backendIncarnation{in.Instance, in.Born}
+	}
+	s.applyRegistration(in)
+}
+
+// verify asks the store about an incarnation that is in use before the store has said whether it has deregistered.
+func (s *State) verify(in BackendRegistered) {
+	if s.registration.unverified == (backendIncarnation{in.Instance, in.Born}) {
+		s.emit(ReadDeregistration{Instance: in.Instance})
 	}
 }
--- a/reducer/discovery.go
+++ b/reducer/discovery.go
@@ -67,6 +67,7 @@
 	if answered {
 		s.log(LevelInfo, "platform store regained", Field{"active", s.config.active.ID().Number})
 	} else {
+		s.registration.storeLost = true
 		s.log(LevelWarn, "platform store lost", Field{"active", s.config.active.ID().Number})
 	}
 	if s.platform.lease != 0 {
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -29,6 +29,9 @@
 	// acknowledged, and inquiry what is known of that.
 	unconfirmed *BackendRegistered
 	inquiry     *deregistration.Inquiry
+	// unverified is an incarnation that is in use although the store has not said yet whether it has deregistered.
+	unverified backendIncarnation
+	storeLost  bool // the store has left a call without an answer since the start
 }
 
 // isOutdated reports whether a registration is older than the newest one. One without a start time or a sequence that the
@@ -63,6 +66,7 @@
 		s.inquire(in)
 		s.acknowledge(in.Exchange)
 	default:
+		s.verify(in)
 		s.applyRegistration(in)
 		s.acknowledgeRegistration(in)
 	}
--- a/reducer/registration_test.go
+++ b/reducer/registration_test.go
@@ -265,7 +265,69 @@
 	d.register("a", born, 10, false)
 	d.expectState("the same registration again while the store is unavailable", UpstreamNone)
 	d.register("a", born, 11, false)
-	d.expectState("a later registration while the store is unavailable", UpstreamReady)
+	d.expectState("a later registration while the store is unavailable", UpstreamNone)
+}
+
+// Guards against registrations of before a deregistration that arrive late, one after the other, and count as proof that the backend server has
+// not deregistered (review/7): the answer of the store, which names the deregistration, was dropped.
+func TestLateRegistrationsProveNothing(t *testing.T) {
+	const born = processStart - 5000
+	d := newTestRegistrar(t)
+	d.now = time.Second
+	for sequence := uint64(8); sequence < 12; sequence++ {
+		d.register("a", born, sequence, false)
+		d.expectState("a late registration", UpstreamNone)
+		d.now += time.Millisecond
+	}
+	d.reduce(DeregistrationRead{Instance: "a", At: born, Result: StoreOK})
+	d.register("a", born, 12, false)
+	d.now += time.Second
+	d.reduce(TimerDue{})
+	d.expectState("after the answer of the store", UpstreamNone)
+}
+
+// Guards against a backend server that is never used after a restart of its node because the store is away for long, and against the answer of
+// the store that comes when it is in use and is not heeded.
+func TestBackendServerIsUsedWithoutTheStoreOnceItsRegistrationCannotBeLate(t *testing.T) {
+	const born = processStart - 5000
+	d := newTestRegistrar(t)
+	for sequence := uint64(1); d.now < deregistration.MaxDelay; sequence++ {
+		d.register("a", born, sequence, false)
+		d.reduce(DeregistrationRead{Instance: "a", Result: StoreUnknown})
+		d.expectState("while its registration may be late", UpstreamNone)
+		d.now += time.Second
+	}
+	d.register("a", born, 100, false)
+	d.expectState("later", UpstreamReady)
+	d.register("a", born, 101, false)
+	if _, asked := findEffect[ReadDeregistration](d); !asked {
+		t.Error("the store is not asked any more")
+	}
+	d.reduce(DeregistrationRead{Instance: "a", At: born, Result: StoreOK})
+	d.expectState("when the store answers that it has deregistered", UpstreamDraining)
+}
+
+// Guards against the store's word after an outage that no node outlived: those that held the record have ended.
+func TestOutageThatNoNodeOutlivedLeavesADoubt(t *testing.T) {
+	const born = processStart - 5000
+	for name, older := range map[string]bool{"all nodes are new": false, "an older node answers": true} {
+		d := newTestRegistrar(t)
+		peers := d.addPeers("p1")
+		d.now = 500 * time.Millisecond
+		d.register("a", born, 8, false)
+		from := peers["p1"]
+		if !older {
+			from.Incarnation = Incarnation(processStart*time.Millisecond) + 1
+		}
+		d.reduce(PeerMessage{From: from, Message: DeregistrationsHeld{}})
+		d.reduce(DeregistrationRead{Instance: "a", Result: StoreUnknown})
+		d.now = 2 * time.Second
+		d.register("a", born, 9, false)
+		d.reduce(DeregistrationRead{Instance: "a", Result: StoreAbsent})
+		if want := map[bool]UpstreamState{false: UpstreamNone, true: UpstreamReady}[older]; d.state.backend.state != want {
+			t.Errorf("%s: the backend server is %v, expected %v", name, d.state.backend.state, want)
+		}
+	}
 }
 
 // Guards against the deregistration of a backend server that started again under its instance and is not stored, because one
