--- a/internal/faultmatrix/combined.go
+++ b/internal/faultmatrix/combined.go
@@ -46,10 +46,26 @@
 		{Name: "backend server leaves twice under one name", Begin: leaveTwice, Length: 9 * time.Second, Sampled: true},
 		{Name: "backend server leaves while the store is down", Begin: leaveInOutage, Length: 8 * time.Second, Sampled: true},
 		{Name: "backend server leaves, two registrations are late", Begin: leaveBeforeTwoLateRegistrations, Length: 8 * time.Second, Sampled: true},
+		{Name: "leases lapse after a backend server has left", Begin: leaveBeforeLeasesLapse, Length: 8 * time.Second, Sampled: true},
 		regionsScenario,
 	}
 }
 
+// leaveBeforeLeasesLapse lets a backend server leave. Then the store is down and all leases end, the process of its node is killed, and a
+// registration from before the leave arrives.
+func leaveBeforeLeasesLapse(w *pump.World) {
+	target := w.Node(Target)
+	target.DelayRegistration(2300 * time.Millisecond)
+	target.DeregisterBackend()
+	w.After(200*time.Millisecond, func() {
+		w.Store.Down = true
+		w.Store.ExpireLeases()
+	})
+	w.After(1200*time.Millisecond, w.Store.Heal)
+	w.After(1400*time.Millisecond, target.RestartProcess)
+	sendAfterLeave(w, 4*time.Second)
+}
+
 // leaveBeforeTwoLateRegistrations lets a backend server leave. Then the process of its node is killed, and two registrations from before the
 // leave arrive, one right after the other.
 func leaveBeforeTwoLateRegistrations(w *pump.World) {
--- a/internal/pump/faults.go
+++ b/internal/pump/faults.go
@@ -164,23 +164,25 @@
 	}
 	late := n.registration()
 	n.Backend.Draining, n.Backend.deregistered = true, true
-	n.sendDeregistration(late.Instance, late.Born)
+	n.sendDeregistration(late.Instance, late.Born, 0)
 	n.after(lateRegistrationDelay, func() { n.reduce(late) })
 }
 
-// sendDeregistration sends a deregistration, and again if it is refused or the process of the node ends before it acknowledges
-// it.
-func (n *Node) sendDeregistration(instance string, born int64) {
+// sendDeregistration sends a deregistration until it is acknowledged. The time in which calls may still arrive begins when a
+// process of the node is first told, and again if another one has to be told.
+func (n *Node) sendDeregistration(instance string, born int64, told int) {
 	if n.Backend.born != born || !n.Backend.Up {
 		return
 	}
-	n.world.History.DrainingSince[n.ID] = n.world.Now
-	processSeq, acknowledged, refused := n.processSeq, false, false
-	exchange := n.addGoroutine(&goroutine{onAcknowledged: func(kept bool) { acknowledged, refused = kept, !kept }})
+	if told != n.processSeq {
+		n.world.History.DrainingSince[n.ID] = n.world.Now
+	}
+	told, acknowledged := n.processSeq, false
+	exchange := n.addGoroutine(&goroutine{onAcknowledged: func(kept bool) { acknowledged = kept }})
 	n.post(0, reducer.BackendDeregistered{Instance: instance, Born: born, Exchange: exchange})
 	n.world.After(leaveRetryInterval, func() {
-		if refused || !acknowledged && n.processSeq != processSeq {
-			n.sendDeregistration(instance, born)
+		if !acknowledged {
+			n.sendDeregistration(instance, born, told)
 		}
 	})
 }
--- a/reducer/deregistrations.go
+++ b/reducer/deregistrations.go
@@ -7,9 +7,6 @@
 )
 
 const (
-	// deregistrationTTL is how long the platform's store keeps a deregistration: longer than a backend server serves after
-	// it.
-	deregistrationTTL = time.Minute
 	// deregistrationStoreTimeout bounds the wait for the store alone. Then other nodes are asked as well to hold a deregistration.
 	deregistrationStoreTimeout = 400 * time.Millisecond
 	// deregistrationAckTimeout bounds the wait for the acknowledgement. Backend servers wait 1 s for it.
@@ -28,6 +25,15 @@
 	askedForHeld = 5
 )
 
+const (
+	// sweepInterval is the mean time between two listings of the records in the store, by the first reader of a zone.
+	sweepInterval = 10 * time.Minute
+	// storedRetention is how long the store keeps a record: as long as other nodes, and a minute more for clocks that differ.
+	storedRetention = deregistration.Retention + time.Minute
+	// removalsPerSweep bounds the records that are removed at a time. The rest follows with the next listings.
+	removalsPerSweep = 32
+)
+
 // deregistrationOf returns the deregistration of an incarnation; born is 0 when its message does not name it. Then it applies
 // to all that have started by now, and to the one held, whose clock may be ahead. A message that is repeated is the same
 // deregistration.
@@ -88,7 +94,7 @@
 		s.timers.set(timerKey{kind: timerDeregistrationHolders, call: exchange}, s.now+deregistrationStoreTimeout)
 		s.timers.set(timerKey{kind: timerDeregistrationAck, call: exchange}, s.now+deregistrationAckTimeout)
 	}
-	s.emit(StoreDeregistration{Exchange: exchange, Instance: d.Instance, At: d.At, TTL: deregistrationTTL})
+	s.emit(StoreDeregistration{Exchange: exchange, Instance: d.Instance, At: d.At, LeftAt: s.wallClockMillis()})
 }
 
 // handleDeregistrationStored acknowledges a deregistration that is stored. One that is not is written again, and other nodes hold it
@@ -108,7 +114,7 @@
 // retryDeregistrations writes the deregistrations that are not stored again.
 func (s *State) retryDeregistrations() {
 	for _, d := range s.registration.ledger.Unstored() {
-		s.emit(StoreDeregistration{Instance: d.Instance, At: d.At, TTL: deregistrationTTL})
+		s.emit(StoreDeregistration{Instance: d.Instance, At: d.At, LeftAt: s.wallClockMillis()})
 	}
 }
 
@@ -280,3 +286,26 @@
 		s.emit(ReadDeregistration{Instance: in.Instance})
 	}
 }
+
+// sweepDeregistrations lists the records in the store from time to time, if this node is the first reader of its zone.
+func (s *State) sweepDeregistrations() {
+	s.timers.set(timerKey{kind: timerDeregistrationSweep}, s.now+sweepInterval/2+s.jitter(sweepInterval))
+	if s.now > 0 && s.shutdown.phase == phaseServing && s.readerRank() == 0 {
+		s.emit(ListDeregistrations{})
+	}
+}
+
+// handleDeregistrationsListed removes the records that no registration which is still on its way can concern.
+func (s *State) handleDeregistrationsListed(in DeregistrationsListed) {
+	s.noteStoreAnswer(in.Result != StoreUnknown)
+	var old []StoredDeregistration
+	for _, r := range in.Records {
+		if s.wallClockMillis()-r.LeftAt > storedRetention.Milliseconds() && len(old) < removalsPerSweep {
+			old = append(old, r)
+		}
+	}
+	if len(old) > 0 {
+		s.log(LevelInfo, "records of old leaves are removed", Field{"records", len(old)}, Field{"listed", len(in.Records)})
+		s.emit(RemoveDeregistrations{Records: old})
+	}
+}
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -196,15 +196,22 @@
 	Entry NodeEntry
 }
 
-// StoreDeregistration stores for the duration of TTL that the incarnations of the backend server that started up to a time
-// have deregistered. DeregistrationStored reports the result.
+// StoreDeregistration stores that the incarnations of the backend server that started up to a time have deregistered, unless the
+// store has a record that covers it. The record has no lease, because leases may end while the store is away.
+// DeregistrationStored reports the result.
 type StoreDeregistration struct {
 	Exchange Handle // that waits for it; 0 when none does
 	Instance string
 	At       int64 // latest start of such an incarnation in Unix milliseconds
-	TTL      time.Duration
+	LeftAt   int64 // now, in Unix milliseconds
 }
 
+// ListDeregistrations lists the records of deregistrations in the platform's store. They may be seconds out of date.
+type ListDeregistrations struct{}
+
+// RemoveDeregistrations removes records of deregistrations that have not been written since they were listed. Its result is not reported.
+type RemoveDeregistrations struct{ Records []StoredDeregistration }
+
 // ReadDeregistration asks the platform's store whether an incarnation of the backend server has deregistered.
 type ReadDeregistration struct{ Instance string }
 
@@ -330,48 +337,50 @@
 // StopProcess ends the process after a graceful shutdown.
 type StopProcess struct{}
 
-func (ReadBody) effect()             {}
-func (FailCall) effect()             {}
-func (PostponeCall) effect()         {}
-func (Deliver) effect()              {}
-func (Forward) effect()              {}
-func (Probe) effect()                {}
-func (Settle) effect()               {}
-func (Cancel) effect()               {}
-func (StartBackendRequest) effect()  {}
-func (AnswerResponseGrowth) effect() {}
-func (AbortBackendRequest) effect()  {}
-func (AnswerForward) effect()        {}
-func (AnswerSettle) effect()         {}
-func (DropResponse) effect()         {}
-func (HandOver) effect()             {}
-func (AcceptRecords) effect()        {}
-func (ConfigureBackend) effect()     {}
-func (ReadStore) effect()            {}
-func (WatchStore) effect()           {}
-func (GrantLease) effect()           {}
-func (RenewLease) effect()           {}
-func (EndLease) effect()             {}
-func (AnnounceNode) effect()         {}
-func (ListNodes) effect()            {}
-func (StoreDeregistration) effect()  {}
-func (ReadDeregistration) effect()   {}
-func (AcknowledgeBackend) effect()   {}
-func (ReadRollouts) effect()         {}
-func (WatchRollouts) effect()        {}
-func (HoldRolloutLease) effect()     {}
-func (WriteRollout) effect()         {}
-func (RolloutObserved) effect()      {}
-func (CheckTables) effect()          {}
-func (Publish) effect()              {}
-func (Send) effect()                 {}
-func (WakeAt) effect()               {}
-func (AnswerStatus) effect()         {}
-func (CallFinished) effect()         {}
-func (CallQueued) effect()           {}
-func (Log) effect()                  {}
-func (CloseListener) effect()        {}
-func (StopProcess) effect()          {}
+func (ReadBody) effect()              {}
+func (FailCall) effect()              {}
+func (PostponeCall) effect()          {}
+func (Deliver) effect()               {}
+func (Forward) effect()               {}
+func (Probe) effect()                 {}
+func (Settle) effect()                {}
+func (Cancel) effect()                {}
+func (StartBackendRequest) effect()   {}
+func (AnswerResponseGrowth) effect()  {}
+func (AbortBackendRequest) effect()   {}
+func (AnswerForward) effect()         {}
+func (AnswerSettle) effect()          {}
+func (DropResponse) effect()          {}
+func (HandOver) effect()              {}
+func (AcceptRecords) effect()         {}
+func (ConfigureBackend) effect()      {}
+func (ReadStore) effect()             {}
+func (WatchStore) effect()            {}
+func (GrantLease) effect()            {}
+func (RenewLease) effect()            {}
+func (EndLease) effect()              {}
+func (AnnounceNode) effect()          {}
+func (ListNodes) effect()             {}
+func (StoreDeregistration) effect()   {}
+func (ReadDeregistration) effect()    {}
+func (ListDeregistrations) effect()   {}
+func (RemoveDeregistrations) effect() {}
+func (AcknowledgeBackend) effect()    {}
+func (ReadRollouts) effect()          {}
+func (WatchRollouts) effect()         {}
+func (HoldRolloutLease) effect()      {}
+func (WriteRollout) effect()          {}
+func (RolloutObserved) effect()       {}
+func (CheckTables) effect()           {}
+func (Publish) effect()               {}
+func (Send) effect()                  {}
+func (WakeAt) effect()                {}
+func (AnswerStatus) effect()          {}
+func (CallFinished) effect()          {}
+func (CallQueued) effect()            {}
+func (Log) effect()                   {}
+func (CloseListener) effect()         {}
+func (StopProcess) effect()           {}
 
 // CallHandle returns the handle of the goroutine that carries out the effect.
 func (e ReadBody) CallHandle() Handle             { return e.Call }
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -249,6 +249,19 @@
 	Result   StoreResult
 }
 
+// DeregistrationsListed reports the result of a ListDeregistrations effect.
+type DeregistrationsListed struct {
+	Result  StoreResult
+	Records []StoredDeregistration
+}
+
+// StoredDeregistration is the record of a deregistration in the platform's store.
+type StoredDeregistration struct {
+	Instance string
+	LeftAt   int64  // in Unix milliseconds
+	Revision uint64 // of the last write of the record
+}
+
 // SettingsChanged carries settings that were changed while the process runs.
 type SettingsChanged struct{ Tunables Tunables }
 
@@ -399,38 +412,39 @@
 	Refused bool
 }
 
-func (CallArrived) input()          {}
-func (BodyRead) input()             {}
-func (CallerGone) input()           {}
-func (ForwardDone) input()          {}
-func (ProbeDone) input()            {}
-func (SettleDone) input()           {}
-func (ForwardArrived) input()       {}
-func (ForwarderGone) input()        {}
-func (SettleArrived) input()        {}
-func (CancelArrived) input()        {}
-func (BackendRequestDone) input()   {}
-func (BackendStreamEnded) input()   {}
-func (ResponseGrows) input()        {}
-func (BackendRegistered) input()    {}
-func (BackendDeregistered) input()  {}
-func (DeregistrationStored) input() {}
-func (DeregistrationRead) input()   {}
-func (SettingsChanged) input()      {}
-func (TimerDue) input()             {}
-func (ShutdownRequested) input()    {}
-func (StatusRequested) input()      {}
-func (StoreRead) input()            {}
-func (LeaseGranted) input()         {}
-func (LeaseRenewed) input()         {}
-func (NodeAnnounced) input()        {}
-func (NodesListed) input()          {}
-func (TablesChecked) input()        {}
-func (HandOverDone) input()         {}
-func (RecordsArrived) input()       {}
-func (RolloutsRead) input()         {}
-func (RolloutsChanged) input()      {}
-func (RolloutLeaseHeld) input()     {}
-func (RolloutWritten) input()       {}
-func (PeerMessage) input()          {}
-func (PeerSendFailed) input()       {}
+func (CallArrived) input()           {}
+func (BodyRead) input()              {}
+func (CallerGone) input()            {}
+func (ForwardDone) input()           {}
+func (ProbeDone) input()             {}
+func (SettleDone) input()            {}
+func (ForwardArrived) input()        {}
+func (ForwarderGone) input()         {}
+func (SettleArrived) input()         {}
+func (CancelArrived) input()         {}
+func (BackendRequestDone) input()    {}
+func (BackendStreamEnded) input()    {}
+func (ResponseGrows) input()         {}
+func (BackendRegistered) input()     {}
+func (BackendDeregistered) input()   {}
+func (DeregistrationStored) input()  {}
+func (DeregistrationRead) input()    {}
+func (DeregistrationsListed) input() {}
+func (SettingsChanged) input()       {}
+func (TimerDue) input()              {}
+func (ShutdownRequested) input()     {}
+func (StatusRequested) input()       {}
+func (StoreRead) input()             {}
+func (LeaseGranted) input()          {}
+func (LeaseRenewed) input()          {}
+func (NodeAnnounced) input()         {}
+func (NodesListed) input()           {}
+func (TablesChecked) input()         {}
+func (HandOverDone) input()          {}
+func (RecordsArrived) input()        {}
+func (RolloutsRead) input()          {}
+func (RolloutsChanged) input()       {}
+func (RolloutLeaseHeld) input()      {}
+func (RolloutWritten) input()        {}
+func (PeerMessage) input()           {}
+func (PeerSendFailed) input()        {}
--- a/reducer/registration_test.go
+++ b/reducer/registration_test.go
@@ -402,3 +402,27 @@
 	d.register("a", 0, 0, true)
 	d.expectState("without any start time or sequence, in order of arrival", UpstreamDraining)
 }
+
+// Guards against records in the store that are removed while a registration of before may still be on its way, or never.
+func TestRecordsAreRemovedAfterTheRetention(t *testing.T) {
+	d := newTestRegistrar(t)
+	removed := map[string]bool{}
+	lists := 0
+	for d.now = 0; d.now < 2*time.Hour; d.now += time.Minute {
+		d.reduce(TimerDue{})
+		if _, listed := findEffect[ListDeregistrations](d); !listed {
+			continue
+		}
+		lists++
+		now := d.state.wallClockMillis()
+		young, old := now-(10*time.Minute).Milliseconds(), now-(12*time.Minute).Milliseconds()
+		d.reduce(DeregistrationsListed{Result: StoreOK, Records: []StoredDeregistration{{"young", young, 1}, {"old", old, 2}, {"ahead", now + 5000, 3}}})
+		removal, _ := findEffect[RemoveDeregistrations](d)
+		for _, r := range removal.Records {
+			removed[r.Instance] = true
+		}
+	}
+	if len(removed) != 1 || !removed["old"] || lists < 6 || lists > 30 {
+		t.Errorf("in 2 h %d listings, of which %v were removed", lists, removed)
+	}
+}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -126,6 +126,7 @@
 	if cfg.Discover {
 		s.timers.set(timerKey{kind: timerAnnounceNode}, 0)
 		s.timers.set(timerKey{kind: timerListNodes}, 0)
+		s.timers.set(timerKey{kind: timerDeregistrationSweep}, 0)
 	}
 	return s
 }
@@ -199,6 +200,8 @@
 		s.handleDeregistrationStored(in)
 	case DeregistrationRead:
 		s.handleDeregistrationRead(in)
+	case DeregistrationsListed:
+		s.handleDeregistrationsListed(in)
 	case SettingsChanged:
 		s.cfg.Tunables = in.Tunables
 	case NodesListed:
@@ -268,6 +271,8 @@
 		s.retryDeregistrations()
 	case timerDeregistrationInquiry:
 		s.advanceInquiry()
+	case timerDeregistrationSweep:
+		s.sweepDeregistrations()
 	case timerReaderCheck:
 		s.checkReader()
 	case timerSubstitute:
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -26,6 +26,7 @@
 	timerDeregistrationAck
 	timerDeregistrationRetry
 	timerDeregistrationInquiry
+	timerDeregistrationSweep
 	timerAnnounceNode
 	timerListNodes
 	timerStartupFetch
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net/netip"
-	"strconv"
 	"sync"
 	"time"
 
@@ -81,6 +80,13 @@
 		})
 	case reducer.ReadDeregistration:
 		r.run(callTimeout, func(ctx context.Context) reducer.Input { return r.readDeregistration(ctx, e) })
+	case reducer.ListDeregistrations:
+		r.run(callTimeout, r.listDeregistrations)
+	case reducer.RemoveDeregistrations:
+		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+			r.removeDeregistrations(ctx, e)
+			return nil
+		})
 	case reducer.ListNodes:
 		r.run(callTimeout, r.listNodes)
 	default:
@@ -167,31 +173,6 @@
 	return reducer.NodeAnnounced{Result: writeResult(outcome), Lease: e.Lease}
 }
 
-// storeDeregistration records the deregistration of an incarnation under its own lease, because the node's lease ends
-// with the node.
-func (r *Runner) storeDeregistration(ctx context.Context, e reducer.StoreDeregistration) reducer.StoreResult {
-	lease, err := r.store.GrantLease(ctx, e.TTL)
-	if err != nil {
-		return reducer.StoreUnknown
-	}
-	outcome, _ := r.store.PutLeased(ctx, platform.KeyDeregistrationPrefix+e.Instance, strconv.AppendInt(nil, e.At, 10), lease) // the outcome suffices; the error only gives its cause
-	return writeResult(outcome)
-}
-
-// readDeregistration reads the record of a deregistration. The result is StoreAbsent if there is none.
-func (r *Runner) readDeregistration(ctx context.Context, e reducer.ReadDeregistration) reducer.Input {
-	entry, err := r.store.Get(ctx, platform.KeyDeregistrationPrefix+e.Instance)
-	result := errorResult(err)
-	if err == nil && entry.Revision == 0 {
-		result = reducer.StoreAbsent
-	}
-	if result != reducer.StoreOK {
-		return reducer.DeregistrationRead{Instance: e.Instance, Result: result}
-	}
-	at, err := strconv.ParseInt(string(entry.Value), 10, 64)
-	return reducer.DeregistrationRead{Instance: e.Instance, At: at, Result: errorResult(err)}
-}
-
 // listNodes reads the entries of all nodes. Entries that no node can have written are listed apart.
 func (r *Runner) listNodes(ctx context.Context) reducer.Input {
 	entries, err := r.store.List(ctx, platform.KeyNodePrefix)
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -167,7 +167,7 @@
 // when the value was null instead of text.
 func TestDeregistrationIsStored(t *testing.T) {
 	f := newFixture(t)
-	stored := f.perform(t, reducer.StoreDeregistration{Exchange: 7, Instance: "i-1", At: 1234, TTL: time.Minute}).(reducer.DeregistrationStored)
+	stored := f.perform(t, reducer.StoreDeregistration{Exchange: 7, Instance: "i-1", At: 1234, LeftAt: 5678}).(reducer.DeregistrationStored)
 	if stored != (reducer.DeregistrationStored{Exchange: 7, Instance: "i-1", At: 1234, Result: reducer.StoreOK}) {
 		t.Errorf("storing the deregistration: %+v", stored)
 	}
@@ -180,6 +180,45 @@
 	}
 }
 
+// Guards against the record of a deregistration that ends with the leases while the store is away (review/9).
+func TestDeregistrationOutlivesTheLeases(t *testing.T) {
+	f := newFixture(t)
+	f.perform(t, reducer.StoreDeregistration{Exchange: 7, Instance: "i-1", At: 1234, LeftAt: 5678})
+	if err := f.server.Inject(standin.Fault{Kind: standin.FaultLeaseLapsed}); err != nil {
+		t.Fatal(err)
+	}
+	want := reducer.DeregistrationRead{Instance: "i-1", At: 1234, Result: reducer.StoreOK}
+	if read := f.perform(t, reducer.ReadDeregistration{Instance: "i-1"}); read != want {
+		t.Errorf("read %+v after all leases have ended, expected %+v", read, want)
+	}
+}
+
+// Guards against records that stay in the store for ever, and against the removal of one that was written again or that another writer left.
+func TestOldDeregistrationsAreRemoved(t *testing.T) {
+	f := newFixture(t)
+	for _, instance := range []string{"i-1", "i-2"} {
+		f.perform(t, reducer.StoreDeregistration{Instance: instance, At: 1000, LeftAt: 5000})
+	}
+	for odd, value := range map[string]string{"odd": "{", "number": "77"} {
+		if _, _, err := f.store.CompareAndSwap(context.Background(), platform.KeyDeregistrationPrefix+odd, 0, []byte(value)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	listed := f.perform(t, reducer.ListDeregistrations{}).(reducer.DeregistrationsListed)
+	if len(listed.Records) != 2 || listed.Records[0].Instance != "i-1" || listed.Records[0].LeftAt != 5000 {
+		t.Fatalf("listed %+v", listed)
+	}
+	f.perform(t, reducer.StoreDeregistration{Instance: "i-2", At: 2000, LeftAt: 9000})
+	f.runner.removeDeregistrations(context.Background(), reducer.RemoveDeregistrations{Records: listed.Records})
+	for instance, want := range map[string]reducer.StoreResult{
+		"i-1": reducer.StoreAbsent, "i-2": reducer.StoreOK, "odd": reducer.StoreMalformed, "number": reducer.StoreOK,
+	} {
+		if read := f.perform(t, reducer.ReadDeregistration{Instance: instance}).(reducer.DeregistrationRead); read.Result != want {
+			t.Errorf("%s is read as %v, expected %v", instance, read.Result, want)
+		}
+	}
+}
+
 // Guards against a watch on a connection that failed silently, whose late result ends the watch that took its place.
 func TestNextWatchEndsTheOneBefore(t *testing.T) {
 	f := newFixture(t)
