store: a late write of an earlier leave does not replace the record of the next

The record of a leave has one key for an instance. A write whose answer was lost may be carried out seconds later (the store's page says so); that of the first life then replaced the record of the second, and a restarted node used the second one again on a late registration. Records are written by compare-and-swap and only raised, at most three times.

Failed before, on: TestLateWriteOfAnEarlierDeregistrationChangesNothing ("read At:1000, expected that of the next life").

--- a/runner/store/deregistrations.go
+++ b/runner/store/deregistrations.go
@@ -30,12 +30,25 @@
 	return d, nil
 }
 
-// storeDeregistration writes a record.
+// maxRaises bounds the attempts to write a record that other writers change meanwhile.
+const maxRaises = 3
+
+// storeDeregistration writes a record unless the store has one that covers it. A write of an earlier life of the instance that the store
+// carries out late finds another revision and changes nothing.
 func (r *Runner) storeDeregistration(ctx context.Context, e reducer.StoreDeregistration) reducer.StoreResult {
 	value, _ := json.Marshal(deregistration{At: e.At, LeftAt: e.LeftAt}) // cannot fail: its fields are numbers
-	write := platform.Write{Key: platform.KeyDeregistrationPrefix + e.Instance, Value: value}
-	outcome, _, _ := r.store.Transact(ctx, nil, []platform.Write{write}) // the outcome suffices; the error only gives its cause
-	return writeResult(outcome)
+	revision := uint64(0)
+	for range maxRaises {
+		outcome, entry, _ := r.store.CompareAndSwap(ctx, platform.KeyDeregistrationPrefix+e.Instance, revision, value) // the outcome suffices; the error only gives its cause
+		if outcome != platform.NotApplied {
+			return writeResult(outcome)
+		}
+		if held, err := decodeDeregistration(entry); err == nil && entry.Revision > 0 && held.At >= e.At {
+			return reducer.StoreOK
+		}
+		revision = entry.Revision
+	}
+	return reducer.StoreConflict
 }
 
 // readDeregistration reads the record of a deregistration. The result is StoreAbsent if there is none, and StoreMalformed if it cannot be read.
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -193,6 +193,25 @@
 	}
 }
 
+// Guards against a write of an earlier life of an instance that the store carries out late, after the deregistration of the next life is
+// stored: a late registration of that one would count.
+func TestLateWriteOfAnEarlierDeregistrationChangesNothing(t *testing.T) {
+	f := newFixture(t)
+	if err := f.server.Inject(standin.Fault{Kind: standin.FaultLateWrite, DelayMs: 100, Count: 1}); err != nil {
+		t.Fatal(err)
+	}
+	earlier := f.perform(t, reducer.StoreDeregistration{Instance: "i-1", At: 1000}).(reducer.DeregistrationStored)
+	next := f.perform(t, reducer.StoreDeregistration{Instance: "i-1", At: 2000}).(reducer.DeregistrationStored)
+	time.Sleep(200 * time.Millisecond)
+	again := f.perform(t, reducer.StoreDeregistration{Instance: "i-1", At: 1000}).(reducer.DeregistrationStored)
+	if earlier.Result != reducer.StoreUnknown || next.Result != reducer.StoreOK || again.Result != reducer.StoreOK {
+		t.Errorf("results %v, %v and %v, expected unknown, ok and ok", earlier.Result, next.Result, again.Result)
+	}
+	if read := f.perform(t, reducer.ReadDeregistration{Instance: "i-1"}).(reducer.DeregistrationRead); read.At != 2000 {
+		t.Errorf("read %+v, expected that of the next life", read)
+	}
+}
+
 // Guards against records that stay in the store for ever, and against the removal of one that was written again or that another writer left.
 func TestOldDeregistrationsAreRemoved(t *testing.T) {
 	f := newFixture(t)
