reducer: a clock that was set back does not hide a leave

If the clock was set back between the two starts, the backend server seemed to be the younger one, the store was not asked, and a late registration put it into use again although its leave was confirmed. A backend server that started up to 10 s after the process by its clock is now used at once, as before, and the store is asked; its answer applies. It costs one read for each such start; waiting for it instead would cost new backend servers their first seconds in an outage.

--- a/reducer/deregistrations.go
+++ b/reducer/deregistrations.go
@@ -28,6 +28,8 @@
 const (
 	// sweepInterval is the mean time between two listings of the records in the store, by the first reader of a zone.
 	sweepInterval = 10 * time.Minute
+	// clockMargin bounds by how much the clock of the instance is set back between the start of a backend server and that of a process.
+	clockMargin = 10 * time.Second
 	// storedRetention is how long the store keeps a record: as long as other nodes, and a minute more for clocks that differ.
 	storedRetention = deregistration.Retention + time.Minute
 	// removalsPerSweep bounds the records that are removed at a time. The rest follows with the next listings.
@@ -197,10 +199,15 @@
 // isOlderThanProcess reports whether an incarnation started before this process, and has not registered with it yet. Its
 // registration may date from before a deregistration that an earlier process of this node acknowledged.
 func (s *State) isOlderThanProcess(in BackendRegistered) bool {
+	return s.mayBeOlderThanProcess(in) && in.Born < s.startMillis()
+}
+
+// mayBeOlderThanProcess is isOlderThanProcess if the clock of the instance was set back meanwhile.
+func (s *State) mayBeOlderThanProcess(in BackendRegistered) bool {
 	if !s.cfg.Discover || in.Born == 0 || s.registration.incarnation == (backendIncarnation{in.Instance, in.Born}) {
 		return false
 	}
-	return in.Born < s.startMillis()
+	return in.Born < s.startMillis()+clockMargin.Milliseconds()
 }
 
 // startMillis returns the start of this process in Unix milliseconds.
@@ -280,9 +287,14 @@
 	s.applyRegistration(in)
 }
 
-// verify asks the store about an incarnation that is in use before the store has said whether it has deregistered.
+// verify asks the store about an incarnation that is in use before the store has said whether it has deregistered: one that the process did not wait
+// for, or that is younger than the process only by a clock that may have been set back.
 func (s *State) verify(in BackendRegistered) {
-	if s.registration.unverified == (backendIncarnation{in.Instance, in.Born}) {
+	r := &s.registration
+	if s.mayBeOlderThanProcess(in) {
+		r.unverified = backendIncarnation{in.Instance, in.Born}
+	}
+	if r.unverified == (backendIncarnation{in.Instance, in.Born}) {
 		s.emit(ReadDeregistration{Instance: in.Instance})
 	}
 }
--- a/reducer/registration_test.go
+++ b/reducer/registration_test.go
@@ -426,3 +426,20 @@
 		t.Errorf("in 2 h %d listings, of which %v were removed", lists, removed)
 	}
 }
+
+// Guards against a clock that was set back between the start of the backend server and that of the process: the backend server seemed to be the
+// younger one, and the store was not asked whether it has deregistered.
+func TestClockThatWasSetBackHidesNoDeregistration(t *testing.T) {
+	const born = processStart + 5000
+	d := newTestRegistrar(t)
+	d.register("a", born, 8, false)
+	if ask, ok := findEffect[ReadDeregistration](d); !ok || ask.Instance != "a" {
+		t.Error("the store is not asked")
+	}
+	d.reduce(DeregistrationRead{Instance: "a", At: born, Result: StoreOK})
+	d.expectState("when the store answers that it has deregistered", UpstreamDraining)
+	d.register("b", processStart+60_000, 1, false)
+	if _, asked := findEffect[ReadDeregistration](d); asked {
+		t.Error("the store is asked about a backend server that started a minute after the process")
+	}
+}
