reducer: a registration that is held back lapses like any other

The store's answer could have put a backend server into use that had been silent for long. It lapses after the TTL of registrations.

Failed before, with the test alone on the commit before: TestRegistrationThatIsHeldBackLapses ("the inquiry goes on").

--- a/reducer/deregistrations.go
+++ b/reducer/deregistrations.go
@@ -221,9 +221,9 @@
 	r := &s.registration
 	switch held := r.unconfirmed; {
 	case held == nil || in.Born > held.Born || in.Born == held.Born && in.Instance != held.Instance:
-		r.unconfirmed, r.inquiry = &in, deregistration.NewInquiry(s.now)
+		r.unconfirmed, r.unconfirmedAt, r.inquiry = &in, s.now, deregistration.NewInquiry(s.now)
 	case in.Born == held.Born && in.Sequence > held.Sequence:
-		r.unconfirmed = &in
+		r.unconfirmed, r.unconfirmedAt = &in, s.now
 	}
 	if r.storeLost {
 		r.inquiry.StoreLost()
@@ -233,9 +233,12 @@
 	s.advanceInquiry()
 }
 
-// advanceInquiry asks nodes for the deregistrations that they hold, until the registration that was held back is decided.
+// advanceInquiry asks nodes for the deregistrations that they hold, until the registration that was held back is decided or lapses.
 func (s *State) advanceInquiry() {
 	r := &s.registration
+	if r.unconfirmed != nil && s.now-r.unconfirmedAt > s.registrationTTL() {
+		r.unconfirmed = nil
+	}
 	if r.unconfirmed == nil {
 		return
 	}
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -27,8 +27,9 @@
 	keeper      deregistration.Keeper // of other nodes
 	// unconfirmed is a registration of an incarnation whose deregistration an earlier process of this node may have
 	// acknowledged, and inquiry what is known of that.
-	unconfirmed *BackendRegistered
-	inquiry     *deregistration.Inquiry
+	unconfirmed   *BackendRegistered
+	unconfirmedAt time.Duration // when it arrived
+	inquiry       *deregistration.Inquiry
 	// unverified is an incarnation that is in use although the store has not said yet whether it has deregistered.
 	unverified backendIncarnation
 	storeLost  bool // the store has left a call without an answer since the start
@@ -50,7 +51,7 @@
 // wallClockMillis returns the time in Unix milliseconds. It does not follow adjustments of the instance's clock after the
 // start of the process.
 func (s *State) wallClockMillis() int64 {
-	return int64(time.Duration(s.cfg.Incarnation)/time.Millisecond) + s.now.Milliseconds()
+	return s.startMillis() + s.now.Milliseconds()
 }
 
 // handleBackendRegistered applies a registration, unless it is outdated. One of an incarnation that may have
--- a/reducer/registration_test.go
+++ b/reducer/registration_test.go
@@ -443,3 +443,23 @@
 		t.Error("the store is asked about a backend server that started a minute after the process")
 	}
 }
+
+// Guards against a registration that is held back for ever, with a timer that fires ten times a second, when the backend server sends no other one, and
+// against its use when the store answers much later.
+func TestRegistrationThatIsHeldBackLapses(t *testing.T) {
+	d := newTestRegistrar(t)
+	d.now = time.Second
+	d.register("a", processStart-5000, 8, false)
+	d.reduce(DeregistrationRead{Instance: "a", Result: StoreUnknown})
+	for d.now < time.Second+2*defaultRegistrationTTL {
+		d.now += inquiryInterval
+		d.reduce(TimerDue{})
+	}
+	if _, pending := d.state.timers.byKey[timerKey{kind: timerDeregistrationInquiry}]; pending {
+		t.Error("the inquiry goes on")
+	}
+	d.reduce(DeregistrationRead{Instance: "a", Result: StoreAbsent})
+	d.now += time.Second
+	d.reduce(TimerDue{})
+	d.expectState("when the store answers after the registration has lapsed", UpstreamNone)
+}
