reducer: a node asks for the leaves that others hold once after its start, and replaces holders that have gone

The process now asks as soon as it has joined, and asks holders that were replaced or started again with each attempt to write. A registration that arrives later than that need not wait for other nodes.

TestHoldersThatStartAgainAreAskedAgain fails if the second asking is taken out (tried on a scratch copy).

--- a/reducer/deregistration/inquiry.go
+++ b/reducer/deregistration/inquiry.go
@@ -12,25 +12,28 @@
 	MaxDelay = 6 * time.Second
 )
 
-// Inquiry is what a process has found out about an incarnation that started before it, and whose deregistration an earlier process may have
-// acknowledged.
+// Inquiry is what a process has found out about incarnations that started before it, and whose deregistration an earlier process may have
+// acknowledged: from other nodes once, after its start, and from the store for one incarnation at a time. Times count from the start of the
+// process. The zero value is ready to use.
 type Inquiry struct {
-	begunAt     time.Duration
-	askedAt     time.Duration   // when the first nodes were asked
-	storeAbsent bool            // the store has no record of it
-	storeLost   bool            // the store has left a call without an answer since the start of the process
-	fresh       bool            // it has registered later than MaxDelay after the start of the process
-	older       bool            // a node has answered that is older than the process
-	answered    map[string]bool // the nodes that were asked, and whether they have answered
-}
+	askedAt   time.Duration   // when the first nodes were asked
+	answered  map[string]bool // the nodes that were asked, and whether they have answered
+	older     bool            // a node has answered that is older than the process
+	peersDone bool            // no more answers are expected
+	storeLost bool            // the store has left a call without an answer
 
-// NewInquiry returns an inquiry that begins now.
-func NewInquiry(now time.Duration) *Inquiry {
-	return &Inquiry{begunAt: now, answered: map[string]bool{}}
+	storeAbsent bool // the store has no record of the incarnation
+	fresh       bool // the incarnation has registered later than MaxDelay
 }
 
+// Begin begins the inquiry about another incarnation.
+func (q *Inquiry) Begin() { q.storeAbsent, q.fresh = false, false }
+
 // Ask notes that nodes are asked now, and returns those that were not asked before.
 func (q *Inquiry) Ask(nodes []string, now time.Duration) []string {
+	if q.answered == nil {
+		q.answered = map[string]bool{}
+	}
 	var added []string
 	for _, node := range nodes {
 		if _, asked := q.answered[node]; !asked {
@@ -70,17 +73,24 @@
 // that hold records while the store does not answer, or it has registered so late that the registration cannot be one of before. The store's word is not enough in an
 // outage that began before this process if no older node is left: the record may have been held by nodes that have ended.
 func (q *Inquiry) Cleared(now time.Duration) bool {
-	return q.peersDone(now) && (q.fresh || q.storeAbsent && (q.older || !q.storeLost))
+	return q.PeersDone(now) && (q.fresh || q.storeAbsent && (q.older || !q.storeLost))
 }
 
-// peersDone reports whether no more answers of other nodes are expected.
-func (q *Inquiry) peersDone(now time.Duration) bool {
-	if len(q.answered) == 0 {
-		return now >= q.begunAt+joinTimeout
+// PeersDone reports whether no more answers of other nodes are expected.
+func (q *Inquiry) PeersDone(now time.Duration) bool {
+	switch {
+	case len(q.answered) == 0:
+		q.peersDone = q.peersDone || now >= joinTimeout
+	case now >= q.askedAt+answerTimeout || q.allAnswered():
+		q.peersDone = true
 	}
+	return q.peersDone
+}
+
+func (q *Inquiry) allAnswered() bool {
 	for _, answered := range q.answered {
 		if !answered {
-			return now >= q.askedAt+answerTimeout
+			return false
 		}
 	}
 	return true
--- a/reducer/deregistration/ledger.go
+++ b/reducer/deregistration/ledger.go
@@ -42,7 +42,7 @@
 	final   int64 // the newest of these of the kind Final
 	stored  int64 // the newest of these that the store has confirmed
 	notedAt time.Duration
-	holders map[string]bool // other nodes that hold it
+	holders map[string]bool // processes of other nodes that hold it
 }
 
 // Note adds a record.
@@ -113,13 +113,25 @@
 	return e != nil && e.stored >= r.At
 }
 
-// HeldBy notes that another node holds a record.
+// HeldBy notes that another node holds a record. node names its process.
 func (l *Ledger) HeldBy(node string, r Record) {
 	if e := l.entries[r.Instance]; e != nil && r.At >= e.at {
 		e.holders[node] = true
 	}
 }
 
+// IsHeld reports whether any other node holds a record.
+func (l *Ledger) IsHeld(r Record) bool {
+	e := l.entries[r.Instance]
+	return e != nil && e.at >= r.At && len(e.holders) > 0
+}
+
+// IsHeldBy reports whether another node holds a record.
+func (l *Ledger) IsHeldBy(node string, r Record) bool {
+	e := l.entries[r.Instance]
+	return e != nil && e.at >= r.At && e.holders[node]
+}
+
 // Records returns all records, sorted by instance.
 func (l *Ledger) Records() []Record {
 	var records []Record
--- a/reducer/deregistrations.go
+++ b/reducer/deregistrations.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/deregistration"
@@ -18,7 +19,7 @@
 const (
 	// askedHolders is how many nodes are asked to hold a deregistration: one more than have to.
 	askedHolders = 3
-	// inquiryInterval is how often a node that holds a registration back looks for more nodes to ask.
+	// inquiryInterval is how often a node that has started, or holds a registration back, looks for more nodes to ask.
 	inquiryInterval = 100 * time.Millisecond
 	// askedForHeld is how many nodes a process that has started asks for what they hold. Some of those that were asked to hold it
 	// may have gone.
@@ -113,13 +114,26 @@
 	s.askToHold(in.Exchange)
 }
 
-// retryDeregistrations writes the deregistrations that are not stored again.
+// retryDeregistrations writes the deregistrations that are not stored again. Nodes that have taken the place of holders that have gone or started again
+// hold them meanwhile.
 func (s *State) retryDeregistrations() {
-	for _, d := range s.registration.ledger.Unstored() {
+	ledger := &s.registration.ledger
+	for _, d := range ledger.Unstored() {
 		s.emit(StoreDeregistration{Instance: d.Instance, At: d.At, LeftAt: s.wallClockMillis()})
+		if !ledger.IsHeld(d) {
+			continue
+		}
+		for _, node := range s.holders(askedHolders) {
+			if to := s.members.table[NodeID(node)].Ref(); !ledger.IsHeldBy(holderKey(to), d) {
+				s.emit(Send{To: to, Message: HoldDeregistrations{Records: []deregistration.Record{d}}})
+			}
+		}
 	}
 }
 
+// holderKey names the process of a node, which holds records in its memory.
+func holderKey(node PeerRef) string { return fmt.Sprintf("%s-%x", node.Node, uint64(node.Incarnation)) }
+
 // askToHold asks other nodes to hold a deregistration that an exchange waits for.
 func (s *State) askToHold(exchange Handle) {
 	d, waiting := s.registration.ledger.Waiting(deregistration.Exchange(exchange))
@@ -158,13 +172,11 @@
 			s.applyDeregistration(d)
 			s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now)
 		}
-		r.ledger.HeldBy(string(from.Node), d)
+		r.ledger.HeldBy(holderKey(from), d)
 	}
 	s.acknowledgeKept()
-	if r.unconfirmed != nil {
-		r.inquiry.Answered(string(from.Node), from.Incarnation < s.cfg.Incarnation)
-		s.concludeInquiry()
-	}
+	r.inquiry.Answered(string(from.Node), from.Incarnation < s.cfg.Incarnation)
+	s.concludeInquiry()
 }
 
 // acknowledgeKept acknowledges the deregistrations that are kept by now.
@@ -221,7 +233,8 @@
 	r := &s.registration
 	switch held := r.unconfirmed; {
 	case held == nil || in.Born > held.Born || in.Born == held.Born && in.Instance != held.Instance:
-		r.unconfirmed, r.unconfirmedAt, r.inquiry = &in, s.now, deregistration.NewInquiry(s.now)
+		r.unconfirmed, r.unconfirmedAt = &in, s.now
+		r.inquiry.Begin()
 	case in.Born == held.Born && in.Sequence > held.Sequence:
 		r.unconfirmed, r.unconfirmedAt = &in, s.now
 	}
@@ -233,18 +246,20 @@
 	s.advanceInquiry()
 }
 
-// advanceInquiry asks nodes for the deregistrations that they hold, until the registration that was held back is decided or lapses.
+// advanceInquiry asks nodes, after the start, for the deregistrations that they hold, and decides about a registration that was held back until it is
+// taken or lapses.
 func (s *State) advanceInquiry() {
 	r := &s.registration
 	if r.unconfirmed != nil && s.now-r.unconfirmedAt > s.registrationTTL() {
 		r.unconfirmed = nil
 	}
-	if r.unconfirmed == nil {
+	if !r.inquiry.PeersDone(s.now) {
+		for _, node := range r.inquiry.Ask(s.holders(askedForHeld), s.now) {
+			s.emit(Send{To: s.members.table[NodeID(node)].Ref(), Message: HoldDeregistrations{}})
+		}
+	} else if r.unconfirmed == nil {
 		return
 	}
-	for _, node := range r.inquiry.Ask(s.holders(askedForHeld), s.now) {
-		s.emit(Send{To: s.members.table[NodeID(node)].Ref(), Message: HoldDeregistrations{}})
-	}
 	s.timers.set(timerKey{kind: timerDeregistrationInquiry}, s.now+inquiryInterval)
 	s.concludeInquiry()
 }
--- a/reducer/leave_property_test.go
+++ b/reducer/leave_property_test.go
@@ -33,6 +33,7 @@
 	store     map[string]int64
 	storeDown bool
 	keepers   []*deregistration.Keeper
+	restarts  [3]int // of the other nodes
 
 	born      int64
 	sequence  uint64
@@ -112,7 +113,7 @@
 }
 
 func (w *leaveWorld) peer(i int) Member {
-	return Member{Node: NodeID(fmt.Sprint("p", i)), Zone: fmt.Sprint("z", i), Address: "p", Incarnation: 1, Sequence: 1, State: MemberAlive}
+	return Member{Node: NodeID(fmt.Sprint("p", i)), Zone: fmt.Sprint("z", i), Address: "p", Incarnation: Incarnation(1 + w.restarts[i]), Sequence: 1, State: MemberAlive}
 }
 
 func (w *leaveWorld) reduce(input Input) {
@@ -231,7 +232,7 @@
 	})
 }
 
-// Guards against any order of registrations, late ones, leaves of both kinds, restarts of the process, outages of the store, ends of one other node and
+// Guards against any order of registrations, late ones, leaves of both kinds, restarts of the process, outages of the store, restarts of other nodes and
 // further lives of an instance after which a backend server whose leave was confirmed is in use (review/7, 9 and 10), or one that has not left is not.
 func TestConfirmedLeaveHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -258,8 +259,12 @@
 			w.draining = true
 			w.note("drains")
 		case 5:
-			if !w.storeDown { // while it is down, the nodes that hold a leave are the only ones that know it
-				w.keepers[rapid.IntRange(0, 2).Draw(t, "node")] = &deregistration.Keeper{}
+			node := rapid.IntRange(0, 2).Draw(t, "node")
+			w.keepers[node] = &deregistration.Keeper{}
+			w.restarts[node]++
+			w.note("node p%d starts again", node)
+			if w.storeDown { // only nodes know the leave, which one that has started is told within a second and a half
+				w.run(1500 * time.Millisecond)
 			}
 		case 6:
 			w.run(time.Second)
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -26,10 +26,10 @@
 	ledger      deregistration.Ledger
 	keeper      deregistration.Keeper // of other nodes
 	// unconfirmed is a registration of an incarnation whose deregistration an earlier process of this node may have
-	// acknowledged, and inquiry what is known of that.
+	// acknowledged, and inquiry what is known of such deregistrations.
 	unconfirmed   *BackendRegistered
 	unconfirmedAt time.Duration // when it arrived
-	inquiry       *deregistration.Inquiry
+	inquiry       deregistration.Inquiry
 	// unverified is an incarnation that is in use although the store has not said yet whether it has deregistered.
 	unverified backendIncarnation
 	storeLost  bool // the store has left a call without an answer since the start
--- a/reducer/registration_test.go
+++ b/reducer/registration_test.go
@@ -463,3 +463,27 @@
 	d.reduce(TimerDue{})
 	d.expectState("when the store answers after the registration has lapsed", UpstreamNone)
 }
+
+// Guards against a deregistration that nobody holds any more in a long outage of the store, because the nodes that held it started again one after the
+// other.
+func TestHoldersThatStartAgainAreAskedAgain(t *testing.T) {
+	const born = processStart + 1
+	d := newTestRegistrar(t)
+	peers := d.addPeers("p1", "p2", "p3")
+	d.register("a", born, 1, false)
+	d.now = time.Second
+	d.reduce(BackendDeregistered{Instance: "a", Born: born, Exchange: 7})
+	d.reduce(DeregistrationStored{Exchange: 7, Instance: "a", At: born, Result: StoreUnknown})
+	for node, hold := range sentMessages[HoldDeregistrations](d) {
+		d.reduce(PeerMessage{From: peers[node], Message: DeregistrationsHeld{Records: hold.Records}})
+	}
+	again := d.state.members.table["p2"]
+	again.Incarnation++
+	d.state.members.put(again)
+	d.now += deregistrationRetryInterval
+	d.reduce(TimerDue{})
+	asked := sentMessages[HoldDeregistrations](d)
+	if want := (deregistration.Record{Instance: "a", At: born}); len(asked) != 1 || len(asked["p2"].Records) != 1 || asked["p2"].Records[0] != want {
+		t.Errorf("asked %+v, expected the node that started again alone", asked)
+	}
+}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -127,6 +127,7 @@
 		s.timers.set(timerKey{kind: timerAnnounceNode}, 0)
 		s.timers.set(timerKey{kind: timerListNodes}, 0)
 		s.timers.set(timerKey{kind: timerDeregistrationSweep}, 0)
+		s.timers.set(timerKey{kind: timerDeregistrationInquiry}, 0)
 	}
 	return s
 }
