reducer, pump: registrations, deregistrations and inquiries each in a file of their own

The fake store counts the writes of records on their own and removes a record only in the listed revision, as the store does.

--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -26,9 +26,9 @@
 	revision       uint64
 	waitingWatches []func()
 	leases         map[uint64]*lease
-	deregisteredAt map[string]int64 // by instance of a backend server, in Unix ms
-	leftAt         map[string]int64 // when the record was written, in Unix ms
-	lastLease      uint64           // the lease granted last
+	left           map[string]leaveRecord // by instance of a backend server
+	leaveWrites    uint64
+	lastLease      uint64 // the lease granted last
 	rollouts       rollouts
 	listedNodes    []reducer.NodeEntry // the previous result of ListNodes
 }
@@ -47,7 +47,7 @@
 const watchPollInterval = 250 * time.Millisecond
 
 func newStore(w *World) *Store {
-	return &Store{world: w, leases: map[uint64]*lease{}, deregisteredAt: map[string]int64{}, leftAt: map[string]int64{}}
+	return &Store{world: w, leases: map[uint64]*lease{}, left: map[string]leaveRecord{}}
 }
 
 // Heal ends all faults of the store.
@@ -136,30 +136,10 @@
 		s.call(n, reducer.NodeAnnounced{Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.Input { return s.announce(e) })
 	case reducer.ListNodes:
 		s.call(n, reducer.NodesListed{Result: reducer.StoreUnknown}, s.list)
-	case reducer.StoreDeregistration:
-		s.call(n, reducer.DeregistrationStored{Exchange: e.Exchange, Instance: e.Instance, At: e.At, Result: reducer.StoreUnknown}, func() reducer.Input {
-			s.deregisteredAt[e.Instance] = max(s.deregisteredAt[e.Instance], e.At)
-			s.leftAt[e.Instance] = e.LeftAt
-			return reducer.DeregistrationStored{Exchange: e.Exchange, Instance: e.Instance, At: e.At, Result: reducer.StoreOK}
-		})
-	case reducer.ReadDeregistration:
-		s.call(n, reducer.DeregistrationRead{Instance: e.Instance, Result: reducer.StoreUnknown}, func() reducer.Input {
-			at, ok := s.deregisteredAt[e.Instance]
-			if !ok {
-				return reducer.DeregistrationRead{Instance: e.Instance, Result: reducer.StoreAbsent}
-			}
-			return reducer.DeregistrationRead{Instance: e.Instance, At: at, Result: reducer.StoreOK}
-		})
-	case reducer.ListDeregistrations:
-		s.call(n, reducer.DeregistrationsListed{Result: reducer.StoreUnknown}, s.listDeregistrations)
-	case reducer.RemoveDeregistrations:
-		for _, r := range e.Records {
-			delete(s.deregisteredAt, r.Instance)
-		}
 	case reducer.EndLease:
 		delete(s.leases, e.Lease)
 	default:
-		return s.performRollout(n, effect)
+		return s.performDeregistration(n, effect) || s.performRollout(n, effect)
 	}
 	return true
 }
@@ -287,14 +267,6 @@
 	return reducer.NodesListed{Result: reducer.StoreOK, Nodes: slices.Clone(s.listedNodes)}
 }
 
-func (s *Store) listDeregistrations() reducer.Input {
-	listed := reducer.DeregistrationsListed{Result: reducer.StoreOK}
-	for _, instance := range slices.Sorted(maps.Keys(s.deregisteredAt)) {
-		listed.Records = append(listed.Records, reducer.StoredDeregistration{Instance: instance, LeftAt: s.leftAt[instance]})
-	}
-	return listed
-}
-
 // ExpireLeases ends all leases at once. Their holders are not told.
 func (s *Store) ExpireLeases() { clear(s.leases) }
 
