--- a/internal/faultmatrix/coverage_test.go
+++ b/internal/faultmatrix/coverage_test.go
@@ -16,8 +16,9 @@
 
 // inputsWithoutStep lists the inputs at which no fault is injected, with the reason.
 var inputsWithoutStep = map[string]string{
-	"SettingsChanged": "replaces limits; no step of a call or of a change of the tables waits for it",
-	"StatusRequested": "reads the state and changes nothing",
+	"DeregistrationsListed": "comes every 10 min and removes records that concern nobody; TestRecordsAreRemovedAfterTheRetention",
+	"SettingsChanged":       "replaces limits; no step of a call or of a change of the tables waits for it",
+	"StatusRequested":       "reads the state and changes nothing",
 }
 
 // typesWithMethod returns the sorted names of the types in package reducer that have the given marker method, such as
