reducer: a substitute's watch ends with its role

The role's end ends the watch (effect EndWatch).

TestSubstitutesAreFewAndStop with the end of the watch taken out: "12 nodes watch 6 s after the trouble, expected the 8 readers"; with it 8 or fewer.

--- a/internal/pump/readers_test.go
+++ b/internal/pump/readers_test.go
@@ -48,7 +48,8 @@
 	return behind
 }
 
-// Guards against a mesh that stays at the old version because the store turns away the nodes that read it, and no other node asks it (review/8).
+// Guards against a mesh that stays at the old version because the store turns away the nodes that read it, and no
+// other node asks it (review/8).
 func TestReadersThatTheStoreTurnsAwayAreReplaced(t *testing.T) {
 	for name, how := range map[string]Refusal{"refused": Refused, "silent": Silent} {
 		for which, turnedAway := range map[string]func(readers, others []*Node) []*Node{
@@ -86,7 +87,8 @@
 	}
 }
 
-// Guards against substitutes that remain readers, and against calls to the store that grow with the nodes while it answers nobody.
+// Guards against substitutes that remain readers, and against calls to the store that grow with the nodes while it
+// answers nobody.
 func TestSubstitutesAreFewAndStop(t *testing.T) {
 	const seed, outage = 9, 30 * time.Second
 	w, readers, _ := newReadersWorld(seed)
@@ -99,7 +101,11 @@
 	w.Store.TurnAway(Refused, readers...)
 	w.Run(w.Now + 10*time.Second)
 	w.Store.Heal()
-	w.Run(w.Now + 30*time.Second)
+	w.Run(w.Now + 6*time.Second)
+	if watching := w.Store.watching(); watching > len(readers) {
+		t.Errorf("seed %d: %d nodes watch 6 s after the trouble, expected the %d readers", seed, watching, len(readers))
+	}
+	w.Run(w.Now + 24*time.Second)
 	if again := quiet(); again > calm+calm/10 {
 		t.Errorf("seed %d: %d calls in %v after the trouble, %d before it", seed, again, outage, calm)
 	}
@@ -110,3 +116,14 @@
 	}
 	t.Logf("%d calls in %v on calm days, %d while the store answers nobody", calm, outage, down)
 }
+
+// watching returns the number of nodes that have a watch of the tables open.
+func (s *Store) watching() int {
+	open := 0
+	for _, n := range s.world.Nodes() {
+		if n.watchOpen {
+			open++
+		}
+	}
+	return open
+}
--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -128,6 +128,9 @@
 		s.call(n, reducer.StoreRead{Result: reducer.StoreUnknown}, s.read)
 	case reducer.WatchStore:
 		s.watch(n, e, n.world.Now+watchTimeout)
+	case reducer.EndWatch:
+		n.watchSeq++
+		n.watchOpen = false
 	case reducer.GrantLease:
 		s.call(n, reducer.LeaseGranted{Result: reducer.StoreUnknown}, func() reducer.Input { return s.grant(e) })
 	case reducer.RenewLease:
@@ -171,8 +174,11 @@
 
 func (s *Store) continueWatch(n *Node, watchSeq int, e reducer.WatchStore, until time.Duration) {
 	n.after(StoreDelay+s.ExtraDelay, func() {
+		if n.watchSeq != watchSeq {
+			return
+		}
+		n.watchOpen = false
 		switch {
-		case n.watchSeq != watchSeq:
 		case s.turnedAway[n.ID] == Silent: // the connection fails silently, for good
 			n.after(max(until-n.world.Now, 0), func() {
 				if n.watchSeq == watchSeq {
@@ -188,6 +194,7 @@
 			read.Watch = true
 			n.reduce(read)
 		default:
+			n.watchOpen = true
 			s.awaitWrite(n, func() { s.continueWatch(n, watchSeq, e, until) })
 		}
 	})
--- a/internal/pump/world.go
+++ b/internal/pump/world.go
@@ -81,7 +81,8 @@
 	startedAt     time.Duration
 	processSeq    int // incremented at each start and kill; events posted under an earlier number are dropped
 	wakeSeq       uint64
-	watchSeq      int // of the latest watch of the tables
+	watchSeq      int  // of the latest watch of the tables
+	watchOpen     bool // the store has the watch waiting
 	lastHandle    reducer.Handle
 	traffic       map[reducer.Handle]*goroutine
 	keptResponses map[reducer.Handle]invariant.Request
--- a/reducer/config_substitute.go
+++ b/reducer/config_substitute.go
@@ -28,8 +28,8 @@
 // isOwnReader reports whether this node is one of the first live nodes of its zone, which read the store.
 func (s *State) isOwnReader() bool { return s.readerRank() < s.readersOfZone() }
 
-// watchSubstitute asks other nodes of the zone, one at a time, to read the store in place of this reader, for as long as the store does not
-// answer this one.
+// watchSubstitute asks other nodes of the zone, one at a time, to read the store in place of this reader, for as long
+// as the store does not answer this one.
 func (s *State) watchSubstitute() {
 	sub := &s.config.substitute
 	if !s.platform.unanswered || !s.isOwnReader() || s.shutdown.phase != phaseServing {
@@ -56,8 +56,9 @@
 	return nodes
 }
 
-// handleReadForPeer reads the store in place of a reader that the store does not answer, and answers whether the store answers this node. Only a
-// recent answer shows that: a watch may wait for a long time on a connection that has failed.
+// handleReadForPeer reads the store in place of a reader that the store does not answer, and answers whether the
+// store answers this node. Only a recent answer shows that: a watch may wait for a long time on a connection that has
+// failed.
 func (s *State) handleReadForPeer(from PeerRef) {
 	sub := &s.config.substitute
 	if s.shutdown.phase != phaseServing {
@@ -66,6 +67,7 @@
 	}
 	isNew := !s.isReader()
 	sub.until = s.now + substitute.RoleTTL
+	s.timers.set(timerKey{kind: timerSubstituteRole}, sub.until)
 	if !s.platform.unanswered && s.platform.answeredAt > 0 && s.now-s.platform.answeredAt <= recentAnswer && !isNew {
 		s.emit(Send{To: from, Message: ReadsForPeer{Served: true}})
 		return
@@ -80,8 +82,8 @@
 	s.readStore()
 }
 
-// answerAskers answers the nodes in whose place this one reads the store, after a call that shows whether the store answers it. One that it does not
-// answer reads for nobody.
+// answerAskers answers the nodes in whose place this one reads the store, after a call that shows whether the store
+// answers it. One that it does not answer reads for nobody.
 func (s *State) answerAskers(served bool) {
 	sub := &s.config.substitute
 	for _, node := range sortedKeys(sub.askers) {
@@ -90,6 +92,15 @@
 	clear(sub.askers)
 	if !served {
 		sub.until = 0
+		s.endSubstituteRole()
+	}
+}
+
+// endSubstituteRole ends the watch of a node that reads for others no more, which would keep a call of the store waiting.
+func (s *State) endSubstituteRole() {
+	if watch := &s.config.reader.watch; watch.inFlight && !s.isReader() {
+		watch.inFlight = false
+		s.emit(EndWatch{})
 	}
 }
 
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -181,6 +181,9 @@
 // waiting, whose result is then not reported.
 type WatchStore struct{ After uint64 }
 
+// EndWatch ends the watch that WatchStore began, if it is still waiting. Its result is not reported.
+type EndWatch struct{}
+
 // GrantLease requests a lease from the platform's store.
 type GrantLease struct{ TTL time.Duration }
 
@@ -356,6 +359,7 @@
 func (ConfigureBackend) effect()      {}
 func (ReadStore) effect()             {}
 func (WatchStore) effect()            {}
+func (EndWatch) effect()              {}
 func (GrantLease) effect()            {}
 func (RenewLease) effect()            {}
 func (EndLease) effect()              {}
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -278,6 +278,8 @@
 		s.checkReader()
 	case timerSubstitute:
 		s.watchSubstitute()
+	case timerSubstituteRole:
+		s.endSubstituteRole()
 	case timerAnnounceNode:
 		s.advanceAnnouncement()
 	case timerListNodes:
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -22,6 +22,7 @@
 	timerStoreWatch
 	timerReaderCheck
 	timerSubstitute
+	timerSubstituteRole
 	timerDeregistrationHolders
 	timerDeregistrationAck
 	timerDeregistrationRetry
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -57,6 +57,8 @@
 		r.run(callTimeout, r.readDocument)
 	case reducer.WatchStore:
 		r.watch(e)
+	case reducer.EndWatch:
+		r.endWatch()
 	case reducer.GrantLease:
 		r.run(callTimeout, func(ctx context.Context) reducer.Input {
 			lease, err := r.store.GrantLease(ctx, e.TTL)
