reducer: a drain that other nodes hold is not final, and attempts to store a leave become rare

A drain (by registration) that other nodes hold came back from them as a deregistration for good: the registrations that followed counted as late, and the backend server as down while it still ran requests. It is left as it is if the process knows it already (TestDrainThatOtherNodesHoldIsNotFinal). The store is not asked about a backend server that registers as draining. The line "leave of the backend server is confirmed" names the instance and whether the store has it.

--- a/reducer/deregistration/deregistration_test.go
+++ b/reducer/deregistration/deregistration_test.go
@@ -54,16 +54,16 @@
 	l.Stored(older)
 	l.HeldBy("p1", older)
 	l.HeldBy("p2", older)
-	if !l.Kept(older, 5) || l.Kept(newer, 5) {
-		t.Errorf("kept: older %v, newer %v", l.Kept(older, 5), l.Kept(newer, 5))
+	if !l.IsKept(older, 5) || l.IsKept(newer, 5) {
+		t.Errorf("kept: older %v, newer %v", l.IsKept(older, 5), l.IsKept(newer, 5))
 	}
 	l.Note(newer, Final, 0)
 	l.HeldBy("p1", older)
 	l.HeldBy("p1", newer)
-	if l.Kept(newer, 5) || !l.Kept(newer, 1) {
-		t.Errorf("held by one node: kept among five %v, among one %v", l.Kept(newer, 5), l.Kept(newer, 1))
+	if l.IsKept(newer, 5) || !l.IsKept(newer, 1) {
+		t.Errorf("held by one node: kept among five %v, among one %v", l.IsKept(newer, 5), l.IsKept(newer, 1))
 	}
-	if l.HeldBy("p2", newer); !l.Kept(newer, 5) || len(l.Unstored()) != 1 {
+	if l.HeldBy("p2", newer); !l.IsKept(newer, 5) || len(l.Unstored(0)) != 1 {
 		t.Error("held by two nodes and not stored: not kept, or not written again")
 	}
 }
--- a/reducer/deregistration/inquiry.go
+++ b/reducer/deregistration/inquiry.go
@@ -3,18 +3,19 @@
 import "time"
 
 const (
-	// answerTimeout bounds the wait for other nodes that are asked for the records they hold. They answer within milliseconds if they are reached.
+	// answerTimeout bounds the wait for other nodes that are asked for the records they hold. They answer within
+	// milliseconds if they are reached.
 	answerTimeout = 500 * time.Millisecond
 	// joinTimeout bounds the wait of a process that knows no other node yet.
 	joinTimeout = time.Second
-	// MaxDelay is the longest time for which a registration can be on its way. One that arrives later than this after the start of a process
-	// was sent after the start, by an incarnation that has not deregistered before it.
+	// MaxDelay is the longest time for which a registration can be on its way. One that arrives later than this after
+	// the start of a process was sent after the start, by an incarnation that has not deregistered before it.
 	MaxDelay = 6 * time.Second
 )
 
-// Inquiry is what a process has found out about incarnations that started before it, and whose deregistration an earlier process may have
-// acknowledged: from other nodes once, after its start, and from the store for one incarnation at a time. Times count from the start of the
-// process. The zero value is ready to use.
+// Inquiry is what a process has found out about incarnations that started before it, and whose deregistration an
+// earlier process may have acknowledged: from other nodes once, after its start, and from the store for one
+// incarnation at a time. Times count from the start of the process. The zero value is ready to use.
 type Inquiry struct {
 	askedAt   time.Duration   // when the first nodes were asked
 	answered  map[string]bool // the nodes that were asked, and whether they have answered
@@ -69,9 +70,10 @@
 	q.fresh = q.fresh || sinceStart >= MaxDelay
 }
 
-// Cleared reports whether the incarnation is known not to have deregistered. Either the store has no record of it and neither has any of the nodes
-// that hold records while the store does not answer, or it has registered so late that the registration cannot be one of before. The store's word is not enough in an
-// outage that began before this process if no older node is left: the record may have been held by nodes that have ended.
+// Cleared reports whether the incarnation is known not to have deregistered. Either the store has no record of it and
+// neither has any of the nodes that hold records while the store does not answer, or it has registered so late that
+// the registration cannot be one of before. The store's word is not enough in an outage that began before this
+// process if no older node is left: the record may have been held by nodes that have ended.
 func (q *Inquiry) Cleared(now time.Duration) bool {
 	return q.PeersDone(now) && (q.fresh || q.storeAbsent && (q.older || !q.storeLost))
 }
--- a/reducer/deregistration/ledger.go
+++ b/reducer/deregistration/ledger.go
@@ -14,10 +14,11 @@
 	wantedHolders = 2
 )
 
-// Ledger is what the node beside a backend server knows of its deregistrations, and who waits for their acknowledgement. The zero value
-// is ready to use.
+// Ledger is what the node beside a backend server knows of its deregistrations, and who waits for their
+// acknowledgement. The zero value is ready to use.
 //
-// Invariant: a record is kept if the store has confirmed it, or if wantedHolders other nodes hold it. Only a kept record is acknowledged.
+// Invariant: a record is kept if the store has confirmed it, or if wantedHolders other nodes hold it. Only a kept
+// record is acknowledged.
 type Ledger struct {
 	entries map[string]*entry // by instance
 	waiting map[Exchange]Record
@@ -91,8 +92,8 @@
 	return e != nil && e.final > 0 && born <= e.final
 }
 
-// Kept reports whether a record outlives this process. peers is the number of other nodes that could hold it.
-func (l *Ledger) Kept(r Record, peers int) bool {
+// IsKept reports whether a record outlives this process. peers is the number of other nodes that could hold it.
+func (l *Ledger) IsKept(r Record, peers int) bool {
 	e := l.entries[r.Instance]
 	if e == nil || e.at < r.At {
 		return false
@@ -141,9 +142,20 @@
 	return records
 }
 
-// Unstored returns the records that the store has not confirmed, sorted by instance.
-func (l *Ledger) Unstored() []Record {
-	return slices.DeleteFunc(l.Records(), l.IsStored)
+// Unstored returns the records younger than Retention that the store has not confirmed, sorted by instance.
+func (l *Ledger) Unstored(now time.Duration) []Record {
+	return slices.DeleteFunc(l.Records(), func(r Record) bool {
+		return l.IsStored(r) || now-l.entries[r.Instance].notedAt > Retention
+	})
+}
+
+// UnstoredFor returns the age of the newest record that the store has not confirmed.
+func (l *Ledger) UnstoredFor(now time.Duration) time.Duration {
+	age := Retention
+	for _, r := range l.Unstored(now) {
+		age = min(age, now-l.entries[r.Instance].notedAt)
+	}
+	return age
 }
 
 // Await makes an exchange wait until its record is kept.
@@ -163,12 +175,18 @@
 // End ends the wait of an exchange.
 func (l *Ledger) End(exchange Exchange) { delete(l.waiting, exchange) }
 
+// Kept is an exchange whose record is kept.
+type Kept struct {
+	Exchange Exchange
+	Record   Record
+}
+
 // TakeKept ends the wait of the exchanges whose records are kept and returns them in order.
-func (l *Ledger) TakeKept(peers int) []Exchange {
-	var kept []Exchange
+func (l *Ledger) TakeKept(peers int) []Kept {
+	var kept []Kept
 	for _, exchange := range slices.Sorted(maps.Keys(l.waiting)) {
-		if l.Kept(l.waiting[exchange], peers) {
-			kept = append(kept, exchange)
+		if r := l.waiting[exchange]; l.IsKept(r, peers) {
+			kept = append(kept, Kept{exchange, r})
 			delete(l.waiting, exchange)
 		}
 	}
--- a/reducer/deregistrations.go
+++ b/reducer/deregistrations.go
@@ -8,12 +8,15 @@
 )
 
 const (
-	// deregistrationStoreTimeout bounds the wait for the store alone. Then other nodes are asked as well to hold a deregistration.
+	// deregistrationStoreTimeout bounds the wait for the store alone. Then other nodes are asked as well to hold a
+	// deregistration.
 	deregistrationStoreTimeout = 400 * time.Millisecond
 	// deregistrationAckTimeout bounds the wait for the acknowledgement. Backend servers wait 1 s for it.
 	deregistrationAckTimeout = 800 * time.Millisecond
-	// deregistrationRetryInterval is the pause after which deregistrations that are not stored are written again.
-	deregistrationRetryInterval = 500 * time.Millisecond
+	// deregistrationRetryInterval is the pause after which deregistrations that are not stored are written again. In a long
+	// outage it grows to maxDeregistrationRetryInterval.
+	deregistrationRetryInterval    = 500 * time.Millisecond
+	maxDeregistrationRetryInterval = 5 * time.Second
 )
 
 const (
@@ -21,15 +24,16 @@
 	askedHolders = 3
 	// sweepInterval is the mean time between two listings of the records in the store, by the first reader of a zone.
 	sweepInterval = 10 * time.Minute
-	// storedRetention is how long the store keeps a record: as long as other nodes, and a minute more for clocks that differ.
+	// storedRetention is how long the store keeps a record: as long as other nodes, and a minute more for clocks that
+	// differ.
 	storedRetention = deregistration.Retention + time.Minute
 	// removalsPerSweep bounds the records that are removed at a time. The rest follows with the next listings.
 	removalsPerSweep = 32
 )
 
-// deregistrationOf returns the deregistration of an incarnation; born is 0 when its message does not name it. Then it applies
-// to all that have started by now, and to the one held, whose clock may be ahead. A message that is repeated is the same
-// deregistration.
+// deregistrationOf returns the deregistration of an incarnation; born is 0 when its message does not name it. Then it
+// applies to all that have started by now, and to the one held, whose clock may be ahead. A message that is repeated
+// is the same deregistration.
 func (s *State) deregistrationOf(instance string, born int64) deregistration.Record {
 	r := &s.registration
 	if born != 0 {
@@ -73,11 +77,11 @@
 	s.applyBackendChange(before)
 }
 
-// keepDeregistration acknowledges a deregistration once it is kept outside this process, which may end before the backend server
-// does: by the platform's store or, if that does not answer in time, by other nodes.
+// keepDeregistration acknowledges a deregistration once it is kept outside this process, which may end before the
+// backend server does: by the platform's store or, if that does not answer in time, by other nodes.
 func (s *State) keepDeregistration(exchange Handle, d deregistration.Record) {
 	r := &s.registration
-	if !s.cfg.Discover || r.ledger.Kept(d, s.members.livePeers) {
+	if !s.cfg.Discover || r.ledger.IsKept(d, s.members.livePeers) {
 		s.acknowledge(exchange)
 		return
 	}
@@ -90,8 +94,8 @@
 	s.emit(StoreDeregistration{Exchange: exchange, Instance: d.Instance, At: d.At, LeftAt: s.wallClockMillis()})
 }
 
-// handleDeregistrationStored acknowledges a deregistration that is stored. One that is not is written again, and other nodes hold it
-// meanwhile.
+// handleDeregistrationStored acknowledges a deregistration that is stored. One that is not is written again, and
+// other nodes hold it meanwhile.
 func (s *State) handleDeregistrationStored(in DeregistrationStored) {
 	r, d := &s.registration, deregistration.Record{Instance: in.Instance, At: in.At}
 	if in.Result == StoreOK {
@@ -100,15 +104,21 @@
 		return
 	}
 	s.log(LevelWarn, "leave of the backend server is not stored", Field{"instance", in.Instance}, Field{"born", in.At}, Field{"result", in.Result.String()})
-	s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now+deregistrationRetryInterval)
+	s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now+deregistrationRetryPause(r.ledger.UnstoredFor(s.now)))
 	s.askToHold(in.Exchange)
 }
 
-// retryDeregistrations writes the deregistrations that are not stored again. Nodes that have taken the place of holders that have gone or started again
-// hold them meanwhile.
+// deregistrationRetryPause returns the pause before the next attempt to store a deregistration that has not been stored
+// for a time.
+func deregistrationRetryPause(unstored time.Duration) time.Duration {
+	return min(max(unstored/8, deregistrationRetryInterval), maxDeregistrationRetryInterval)
+}
+
+// retryDeregistrations writes the deregistrations that are not stored again. Nodes that have taken the place of
+// holders that have gone or started again hold them meanwhile.
 func (s *State) retryDeregistrations() {
 	ledger := &s.registration.ledger
-	for _, d := range ledger.Unstored() {
+	for _, d := range ledger.Unstored(s.now) {
 		s.emit(StoreDeregistration{Instance: d.Instance, At: d.At, LeftAt: s.wallClockMillis()})
 		if !ledger.IsHeld(d) {
 			continue
@@ -152,12 +162,12 @@
 	s.emit(Send{To: from, Message: DeregistrationsHeld{Records: held}})
 }
 
-// handleDeregistrationsHeld acknowledges deregistrations that other nodes hold, and applies those that an earlier process of this
-// node asked them to hold.
+// handleDeregistrationsHeld acknowledges deregistrations that other nodes hold, and applies those that an earlier
+// process of this node asked them to hold.
 func (s *State) handleDeregistrationsHeld(from PeerRef, in DeregistrationsHeld) {
 	r := &s.registration
 	for _, d := range in.Records {
-		if !r.ledger.Applies(d.Instance, d.At) {
+		if known, ok := r.ledger.Find(d.Instance); !ok || known.At < d.At {
 			s.log(LevelInfo, "leave of the backend server is known to another node", Field{"instance", d.Instance}, Field{"born", d.At}, Field{"from", from.Node})
 			s.applyDeregistration(d)
 			s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now)
@@ -172,10 +182,10 @@
 // acknowledgeKept acknowledges the deregistrations that are kept by now.
 func (s *State) acknowledgeKept() {
 	r := &s.registration
-	for _, exchange := range r.ledger.TakeKept(s.members.livePeers) {
-		s.cancelDeregistrationTimers(Handle(exchange))
-		s.log(LevelInfo, "leave of the backend server is confirmed", Field{"exchange", uint64(exchange)}, Field{"unstored", len(r.ledger.Unstored())})
-		s.acknowledge(Handle(exchange))
+	for _, kept := range r.ledger.TakeKept(s.members.livePeers) {
+		s.cancelDeregistrationTimers(Handle(kept.Exchange))
+		s.log(LevelInfo, "leave of the backend server is confirmed", Field{"instance", kept.Record.Instance}, Field{"born", kept.Record.At}, Field{"stored", r.ledger.IsStored(kept.Record)})
+		s.acknowledge(Handle(kept.Exchange))
 	}
 }
 
--- a/reducer/deregistrations_test.go
+++ b/reducer/deregistrations_test.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// Guards against a deregistration that is acknowledged although it is kept nowhere but in this process (review/10): after a restart of the
-// process a late registration put the backend server into use again.
+// Guards against a deregistration that is acknowledged although it is kept nowhere but in this process (review/10):
+// after a restart of the process a late registration put the backend server into use again.
 func TestDeregistrationThatIsKeptNowhereIsRefused(t *testing.T) {
 	const born = processStart + 1
 	for name, leave := range map[string]func(d *testRegistrar){
@@ -85,8 +85,8 @@
 	}
 }
 
-// Guards against a deregistration that no backend server gets acknowledged in an outage of the store, and against one that is forgotten by a
-// restart in it (review/10): other nodes hold it until the store has it.
+// Guards against a deregistration that no backend server gets acknowledged in an outage of the store, and against one
+// that is forgotten by a restart in it (review/10): other nodes hold it until the store has it.
 func TestOtherNodesHoldDeregistrationWhileTheStoreIsAway(t *testing.T) {
 	const born = processStart - 5000
 	left := deregistration.Record{Instance: "a", At: born}
@@ -127,8 +127,8 @@
 	}
 }
 
-// Guards against the deregistration of a backend server that started again under its instance and is not stored, because one
-// of an earlier incarnation is: after a restart of the node a late registration put it into use again.
+// Guards against the deregistration of a backend server that started again under its instance and is not stored,
+// because one of an earlier incarnation is: after a restart of the node a late registration put it into use again.
 func TestEachIncarnationStoresItsDeregistration(t *testing.T) {
 	const first, second = processStart + 1, processStart + 2000
 	for name, leave := range map[string]func(d *testRegistrar, born int64){
@@ -207,8 +207,8 @@
 	}
 }
 
-// Guards against a deregistration that nobody holds any more in a long outage of the store, because the nodes that held it started again one after the
-// other.
+// Guards against a deregistration that nobody holds any more in a long outage of the store, because the nodes that
+// held it started again one after the other.
 func TestHoldersThatStartAgainAreAskedAgain(t *testing.T) {
 	const born = processStart + 1
 	d := newTestRegistrar(t)
@@ -230,3 +230,44 @@
 		t.Errorf("asked %+v, expected the node that started again alone", asked)
 	}
 }
+
+// Guards against a drain that counts as a deregistration for good once other nodes hold it: the registrations that follow
+// would count as late, and the backend server as down while it still runs requests.
+func TestDrainThatOtherNodesHoldIsNotFinal(t *testing.T) {
+	const born = processStart + 1
+	d := newTestRegistrar(t)
+	peers := d.addPeers("p1", "p2", "p3")
+	d.register("a", born, 1, false)
+	d.register("a", born, 2, true)
+	d.reduce(DeregistrationStored{Exchange: 7, Instance: "a", At: born, Result: StoreUnknown})
+	for node, hold := range sentMessages[HoldDeregistrations](d) {
+		d.reduce(PeerMessage{From: peers[node], Message: DeregistrationsHeld(hold)})
+	}
+	for sequence := uint64(3); sequence < 10; sequence++ {
+		d.now += time.Second
+		d.register("a", born, sequence, true)
+		if ack, _ := findEffect[AcknowledgeBackend](d); ack != (AcknowledgeBackend{Exchange: 7}) {
+			t.Errorf("registration %d is answered with %+v", sequence, ack)
+		}
+		d.expectState("while it drains", UpstreamDraining)
+	}
+}
+
+// Guards against a store that is asked twice a second for as long as an outage lasts, and against a deregistration that is
+// written after no registration can be late any more.
+func TestAttemptsToStoreBecomeRareAndEnd(t *testing.T) {
+	const born = processStart + 1
+	d := newTestRegistrar(t)
+	d.reduce(BackendDeregistered{Instance: "a", Born: born})
+	attempts := map[time.Duration]int{} // by minute
+	for d.now = 0; d.now < 20*time.Minute; d.now += 100 * time.Millisecond {
+		if _, stores := findEffect[StoreDeregistration](d); stores {
+			attempts[d.now.Truncate(time.Minute)]++
+			d.reduce(DeregistrationStored{Instance: "a", At: born, Result: StoreUnknown})
+		}
+		d.reduce(TimerDue{})
+	}
+	if attempts[0] < 10 || attempts[5*time.Minute] > 13 || attempts[5*time.Minute] == 0 || attempts[15*time.Minute] > 0 {
+		t.Errorf("attempts by minute: %v", attempts)
+	}
+}
--- a/reducer/inquiry.go
+++ b/reducer/inquiry.go
@@ -9,10 +9,11 @@
 const (
 	// inquiryInterval is how often a node that has started, or holds a registration back, looks for more nodes to ask.
 	inquiryInterval = 100 * time.Millisecond
-	// askedForHeld is how many nodes a process that has started asks for what they hold. Some of those that were asked to hold it
-	// may have gone.
+	// askedForHeld is how many nodes a process that has started asks for what they hold. Some of those that were
+	// asked to hold it may have gone.
 	askedForHeld = 5
-	// clockMargin bounds by how much the clock of the instance is set back between the start of a backend server and that of a process.
+	// clockMargin bounds by how much the clock of the instance is set back between the start of a backend server and
+	// that of a process.
 	clockMargin = 10 * time.Second
 )
 
@@ -35,8 +36,8 @@
 	return int64(time.Duration(s.cfg.Incarnation) / time.Millisecond)
 }
 
-// inquire asks the store, and the nodes that hold deregistrations for this one, whether an incarnation has deregistered. Further registrations
-// prove nothing: they may have been sent before it, too.
+// inquire asks the store, and the nodes that hold deregistrations for this one, whether an incarnation has
+// deregistered. Further registrations prove nothing: they may have been sent before it, too.
 func (s *State) inquire(in BackendRegistered) {
 	r := &s.registration
 	switch held := r.unconfirmed; {
@@ -54,8 +55,8 @@
 	s.advanceInquiry()
 }
 
-// advanceInquiry asks nodes, after the start, for the deregistrations that they hold, and decides about a registration that was held back until it is
-// taken or lapses.
+// advanceInquiry asks nodes, after the start, for the deregistrations that they hold, and decides about a
+// registration that was held back until it is taken or lapses.
 func (s *State) advanceInquiry() {
 	r := &s.registration
 	if r.unconfirmed != nil && s.now-r.unconfirmedAt > s.registrationTTL() {
@@ -99,7 +100,8 @@
 	}
 }
 
-// concludeInquiry makes the registration that was held back the current one once its incarnation is known not to have deregistered.
+// concludeInquiry makes the registration that was held back the current one once its incarnation is known not to have
+// deregistered.
 func (s *State) concludeInquiry() {
 	r := &s.registration
 	if r.unconfirmed == nil || !r.inquiry.Cleared(s.now) {
@@ -113,8 +115,9 @@
 	s.applyRegistration(in)
 }
 
-// verify asks the store about an incarnation that is in use before the store has said whether it has deregistered: one that the process did not wait
-// for, or that is younger than the process only by a clock that may have been set back.
+// verify asks the store about an incarnation that is in use before the store has said whether it has deregistered:
+// one that the process did not wait for, or that is younger than the process only by a clock that may have been set
+// back.
 func (s *State) verify(in BackendRegistered) {
 	r := &s.registration
 	if s.mayBeOlderThanProcess(in) {
--- a/reducer/inquiry_test.go
+++ b/reducer/inquiry_test.go
@@ -51,8 +51,9 @@
 	d.expectState("a later registration while the store is unavailable", UpstreamNone)
 }
 
-// Guards against registrations of before a deregistration that arrive late, one after the other, and count as proof that the backend server has
-// not deregistered (review/7): the answer of the store, which names the deregistration, was dropped.
+// Guards against registrations of before a deregistration that arrive late, one after the other, and count as proof
+// that the backend server has not deregistered (review/7): the answer of the store, which names the deregistration,
+// was dropped.
 func TestLateRegistrationsProveNothing(t *testing.T) {
 	const born = processStart - 5000
 	d := newTestRegistrar(t)
@@ -69,8 +70,8 @@
 	d.expectState("after the answer of the store", UpstreamNone)
 }
 
-// Guards against a backend server that is never used after a restart of its node because the store is away for long, and against the answer of
-// the store that comes when it is in use and is not heeded.
+// Guards against a backend server that is never used after a restart of its node because the store is away for long,
+// and against the answer of the store that comes when it is in use and is not heeded.
 func TestBackendServerIsUsedWithoutTheStoreOnceItsRegistrationCannotBeLate(t *testing.T) {
 	const born = processStart - 5000
 	d := newTestRegistrar(t)
@@ -113,8 +114,8 @@
 	}
 }
 
-// Guards against a clock that was set back between the start of the backend server and that of the process: the backend server seemed to be the
-// younger one, and the store was not asked whether it has deregistered.
+// Guards against a clock that was set back between the start of the backend server and that of the process: the
+// backend server seemed to be the younger one, and the store was not asked whether it has deregistered.
 func TestClockThatWasSetBackHidesNoDeregistration(t *testing.T) {
 	const born = processStart + 5000
 	d := newTestRegistrar(t)
@@ -130,8 +131,8 @@
 	}
 }
 
-// Guards against a registration that is held back for ever, with a timer that fires ten times a second, when the backend server sends no other one, and
-// against its use when the store answers much later.
+// Guards against a registration that is held back for ever, with a timer that fires ten times a second, when the
+// backend server sends no other one, and against its use when the store answers much later.
 func TestRegistrationThatIsHeldBackLapses(t *testing.T) {
 	d := newTestRegistrar(t)
 	d.now = time.Second
--- a/reducer/leave_property_test.go
+++ b/reducer/leave_property_test.go
@@ -18,8 +18,8 @@
 	longestDelay = 5 * time.Second
 )
 
-// leaveWorld is a node beside a backend server, with a store and three other nodes that answer as the platform and nodes do. Time is that of the world; each
-// process of the node counts from its start.
+// leaveWorld is a node beside a backend server, with a store and three other nodes that answer as the platform and
+// nodes do. Time is that of the world; each process of the node counts from its start.
 type leaveWorld struct {
 	t       *rapid.T
 	now     time.Duration
@@ -232,8 +232,9 @@
 	})
 }
 
-// Guards against any order of registrations, late ones, leaves of both kinds, restarts of the process, outages of the store, restarts of other nodes and
-// further lives of an instance after which a backend server whose leave was confirmed is in use (review/7, 9 and 10), or one that has not left is not.
+// Guards against any order of registrations, late ones, leaves of both kinds, restarts of the process, outages of the
+// store, restarts of other nodes and further lives of an instance after which a backend server whose leave was
+// confirmed is in use (review/7, 9 and 10), or one that has not left is not.
 func TestConfirmedLeaveHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		for range 5 {
--- a/reducer/registration.go
+++ b/reducer/registration.go
@@ -6,7 +6,8 @@
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/deregistration"
 )
 
-// defaultRegistrationTTL is how long a registration of the backend server lasts without a heartbeat, unless the settings give another time.
+// defaultRegistrationTTL is how long a registration of the backend server lasts without a heartbeat, unless the
+// settings give another time.
 const defaultRegistrationTTL = 3 * time.Second
 
 // backendIncarnation identifies one run of a backend server process.
@@ -67,7 +68,9 @@
 		s.inquire(in)
 		s.acknowledge(in.Exchange)
 	default:
-		s.verify(in)
+		if !in.Draining {
+			s.verify(in)
+		}
 		s.applyRegistration(in)
 		s.acknowledgeRegistration(in)
 	}
--- a/reducer/substitute/search.go
+++ b/reducer/substitute/search.go
@@ -1,5 +1,6 @@
-// Package substitute finds a node that the platform's store answers, to read it in place of a reader that the store does not answer. The store
-// may turn away just those nodes that call it. Search is the side of such a reader. It is pure: times come in, decisions come out.
+// Package substitute finds a node that the platform's store answers, to read it in place of a reader that the store
+// does not answer. The store may turn away just those nodes that call it. Search is the side of such a reader. It is
+// pure: times come in, decisions come out.
 package substitute
 
 import (
@@ -8,14 +9,15 @@
 )
 
 const (
-	// answerTimeout bounds the wait for a node that was asked: it makes a call to the store, which takes 1 s at most, before it answers.
+	// answerTimeout bounds the wait for a node that was asked: it makes a call to the store, which takes 1 s at most,
+	// before it answers.
 	answerTimeout = 1500 * time.Millisecond
 	// renewInterval is how often a substitute is asked again. It reads for RoleTTL after each time.
 	renewInterval = 2 * time.Second
 	// RoleTTL is how long a substitute reads the store after it was asked.
 	RoleTTL = 5 * time.Second
-	// firstPause and maxPause limit the pause after a node that the store does not answer either, which doubles: while the store answers
-	// nobody, the calls of those that are asked stay few.
+	// firstPause and maxPause limit the pause after a node that the store does not answer either, which doubles:
+	// while the store answers nobody, the calls of those that are asked stay few.
 	firstPause = 250 * time.Millisecond
 	maxPause   = 8 * time.Second
 )
@@ -34,8 +36,8 @@
 // Substitute returns the node that reads in place of this one, if there is one.
 func (s *Search) Substitute() (node string, ok bool) { return s.node, s.served }
 
-// Next returns the node to ask now, if any. candidates are in the order in which they are asked, the same at all readers of a zone, so that these
-// share a substitute.
+// Next returns the node to ask now, if any. candidates are in the order in which they are asked, the same at all
+// readers of a zone, so that these share a substitute.
 func (s *Search) Next(now time.Duration, candidates []string) (node string, ok bool) {
 	if s.waiting && now-s.askedAt >= answerTimeout {
 		s.reject(now)
--- a/reducer/substitute/search_test.go
+++ b/reducer/substitute/search_test.go
@@ -5,7 +5,8 @@
 	"time"
 )
 
-// Guards against a search that asks several nodes at a time, gives up after one round, or goes on asking at full speed while the store answers nobody.
+// Guards against a search that asks several nodes at a time, gives up after one round, or goes on asking at full
+// speed while the store answers nobody.
 func TestSearchAsksOneAfterTheOther(t *testing.T) {
 	var s Search
 	candidates := []string{"a", "b", "c"}
@@ -23,8 +24,8 @@
 	}
 }
 
-// Guards against a substitute that is not asked again, so that its role ends, and against one that is kept although the store does not answer it
-// any more or it has gone.
+// Guards against a substitute that is not asked again, so that its role ends, and against one that is kept although
+// the store does not answer it any more or it has gone.
 func TestSubstituteIsAskedAgainUntilItFails(t *testing.T) {
 	var s Search
 	candidates := []string{"a", "b"}
--- a/runner/peer/wire_registration.go
+++ b/runner/peer/wire_registration.go
@@ -2,8 +2,9 @@
 
 import "github.com/rosemaryhatch/rosemaryhatch/reducer/deregistration"
 
-// Deregistrations is reducer.HoldDeregistrations or reducer.DeregistrationsHeld on the wire. The two lists have the same length: gob
-// leaves out a pointer to a struct whose fields are all zero, and Any marks a message without records.
+// Deregistrations is reducer.HoldDeregistrations or reducer.DeregistrationsHeld on the wire. The two lists have the
+// same length: gob leaves out a pointer to a struct whose fields are all zero, and Any marks a message without
+// records.
 type Deregistrations struct {
 	Any       bool
 	Instances []string
--- a/runner/store/deregistrations.go
+++ b/runner/store/deregistrations.go
@@ -33,8 +33,8 @@
 // maxRaises bounds the attempts to write a record that other writers change meanwhile.
 const maxRaises = 3
 
-// storeDeregistration writes a record unless the store has one that covers it. A write of an earlier life of the instance that the store
-// carries out late finds another revision and changes nothing.
+// storeDeregistration writes a record unless the store has one that covers it. A write of an earlier life of the
+// instance that the store carries out late finds another revision and changes nothing.
 func (r *Runner) storeDeregistration(ctx context.Context, e reducer.StoreDeregistration) reducer.StoreResult {
 	value, _ := json.Marshal(deregistration{At: e.At, LeftAt: e.LeftAt}) // cannot fail: its fields are numbers
 	revision := uint64(0)
@@ -51,7 +51,8 @@
 	return reducer.StoreConflict
 }
 
-// readDeregistration reads the record of a deregistration. The result is StoreAbsent if there is none, and StoreMalformed if it cannot be read.
+// readDeregistration reads the record of a deregistration. The result is StoreAbsent if there is none, and
+// StoreMalformed if it cannot be read.
 func (r *Runner) readDeregistration(ctx context.Context, e reducer.ReadDeregistration) reducer.Input {
 	entry, err := r.store.Get(ctx, platform.KeyDeregistrationPrefix+e.Instance)
 	read := reducer.DeregistrationRead{Instance: e.Instance, Result: errorResult(err)}
@@ -71,8 +72,8 @@
 	return read
 }
 
-// listDeregistrations lists the records. It leaves out those of another writer that cannot be read, and those of earlier releases, which lie under
-// a lease.
+// listDeregistrations lists the records. It leaves out those of another writer that cannot be read, and those of
+// earlier releases, which lie under a lease.
 func (r *Runner) listDeregistrations(ctx context.Context) reducer.Input {
 	entries, err := r.store.List(ctx, platform.KeyDeregistrationPrefix)
 	listed := reducer.DeregistrationsListed{Result: errorResult(err)}
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -193,8 +193,8 @@
 	}
 }
 
-// Guards against a write of an earlier life of an instance that the store carries out late, after the deregistration of the next life is
-// stored: a late registration of that one would count.
+// Guards against a write of an earlier life of an instance that the store carries out late, after the deregistration
+// of the next life is stored: a late registration of that one would count.
 func TestLateWriteOfAnEarlierDeregistrationChangesNothing(t *testing.T) {
 	f := newFixture(t)
 	if err := f.server.Inject(standin.Fault{Kind: standin.FaultLateWrite, DelayMs: 100, Count: 1}); err != nil {
@@ -212,7 +212,8 @@
 	}
 }
 
-// Guards against records that stay in the store for ever, and against the removal of one that was written again or that another writer left.
+// Guards against records that stay in the store for ever, and against the removal of one that was written again or
+// that another writer left.
 func TestOldDeregistrationsAreRemoved(t *testing.T) {
 	f := newFixture(t)
 	for _, instance := range []string{"i-1", "i-2"} {
