review: two sides of a refusing cut each grant a whole quota

A node whose address refuses a connection counts as ended and gets no share of a quota. In a cut with reset or refuse both sides see the other one so, and each grants the tenant's whole rate.

--- a/review/rig3/large.go
+++ b/review/rig3/large.go
@@ -34,7 +34,7 @@
 	}
 	for version := 4; version < 24; version++ {
 		routes = add(routes, count)
-		if size := len(configValue(version, services, routes)); size > valueBytes {
+		if size := len(configValue(version, services, routes, nil)); size > valueBytes {
 			record("version %08x would have %d bytes", version, size)
 			break
 		}
--- a/review/rig3/mesh.go
+++ b/review/rig3/mesh.go
@@ -122,6 +122,8 @@
 	name, zone, service string
 	values              map[string]any
 	outbound, ready     string
+	listenLine          string // a further line of the section listen
+	apiKey              string // of the tenant of the clients, if there are tenants
 	up                  *upstream
 	log                 *os.File
 	cmd                 *exec.Cmd
@@ -133,6 +135,7 @@
 	store   *store
 	journal *journal
 	nodes   []*nodeProcess
+	tenants []any // of the configuration; nil for none
 	root    string
 }
 
@@ -184,6 +187,9 @@
 	}
 	path := filepath.Join(tempDir, n.name+".ini")
 	text := fill(string(template), n.values)
+	if n.listenLine != "" {
+		text = strings.Replace(text, "[listen]\n", "[listen]\n"+n.listenLine+"\n", 1)
+	}
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		blocked("%v", err)
 	}
@@ -269,23 +275,27 @@
 
 // configure writes a configuration as the operator and returns when it was confirmed.
 func (m *mesh) configure(version int, services []string, routes []route) time.Time {
-	value := configValue(version, services, routes)
+	value := configValue(version, services, routes, m.tenants)
 	revision := m.store.operatorPut("op/config", value)
 	record("operator writes version %08x of %d bytes, confirmed at revision %d", version, len(value), revision)
 	return time.Now()
 }
 
 // configValue returns the operator's item for a configuration.
-func configValue(version int, services []string, routes []route) []byte {
+func configValue(version int, services []string, routes []route, tenants []any) []byte {
 	var list []any
 	for _, s := range services {
 		list = append(list, map[string]any{"name": s, "health-path": "/health", "max-connections": 110, "protocol": "h1", "tls": false})
 	}
-	value, err := json.Marshal(map[string]any{
+	config := map[string]any{
 		"version": fmt.Sprintf("%08x", version), "services": list,
 		"limits":        map[string]any{"max-header-bytes": 16384, "max-body-bytes": 67108864, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
 		"virtual-hosts": []any{map[string]any{"host": host, "paths": routes}},
-	})
+	}
+	if tenants != nil {
+		config["tenants"] = tenants
+	}
+	value, err := json.Marshal(config)
 	if err != nil {
 		blocked("%v", err)
 	}
@@ -344,6 +354,9 @@
 	r.Host = host
 	r.Header.Set("Attempt-Id", id)
 	r.Header.Set("Deadline-Ms", fmt.Sprint(deadlineMs))
+	if n.apiKey != "" {
+		r.Header.Set("X-Api-Key", n.apiKey)
+	}
 	client := &http.Client{Timeout: time.Duration(deadlineMs)*time.Millisecond + 500*time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	record("send    %s to node %s: %s %s, %d ms", id, n.name, method, path, deadlineMs)
 	out, err := client.Do(r)
