store: revisions carry the era of the store, and 410 is paced

One loop and one missed change have one cause: a reader kept the highest revision that it ever saw, and numbers are given out again after a copy. The watch from that revision got 410, the reader read and asked the same again at once, until a write raised the store to that number; the watch then continued from it and missed this write.

Each answer now carries its Store-Era (platform.WithEraObserver), revisions are pairs (reducer/storeera), a new era makes readers read and watch anew, answers of an earlier era count as failed calls, and a watch that gets 410 backs off like any failure.

--- a/internal/faultmatrix/coverage_test.go
+++ b/internal/faultmatrix/coverage_test.go
@@ -50,13 +50,19 @@
 // panics on an effect that it does not handle.
 func TestEveryInputIsAStep(t *testing.T) {
 	seen := map[string]bool{}
+	see := func(input reducer.Input) {
+		seen[reflect.TypeOf(input).Name()] = true
+		if answered, ok := input.(reducer.StoreAnswered); ok {
+			seen[reflect.TypeOf(answered.Answer).Name()] = true
+		}
+	}
 	for _, scenario := range append(Scenarios(), Scenario{Name: "everything", Begin: beginAllScenarios, Length: allScenariosLength}) {
 		w := newWorld(matrixSeed, scenario)
-		w.OnStep = func(_ int, _ *pump.Node, input reducer.Input) { seen[reflect.TypeOf(input).Name()] = true }
+		w.OnStep = func(_ int, _ *pump.Node, input reducer.Input) { see(input) }
 		scenario.Begin(w)
 		w.Run(w.Now + scenario.Length)
 	}
-	RolloutRun{Seed: matrixSeed, Kind: "good"}.run(func(_ *pump.World, input reducer.Input) { seen[reflect.TypeOf(input).Name()] = true })
+	RolloutRun{Seed: matrixSeed, Kind: "good"}.run(func(_ *pump.World, input reducer.Input) { see(input) })
 	for _, name := range typesWithMethod(t, "input") {
 		if !seen[name] && inputsWithoutStep[name] == "" {
 			t.Errorf("input %s is a step of no scenario; add one or give the reason in inputsWithoutStep", name)
--- a/internal/pump/deregistrations.go
+++ b/internal/pump/deregistrations.go
@@ -18,13 +18,13 @@
 	switch e := effect.(type) {
 	case reducer.StoreDeregistration:
 		stored := reducer.DeregistrationStored{Exchange: e.Exchange, Instance: e.Instance, At: e.At, Result: reducer.StoreUnknown}
-		s.call(n, stored, func() reducer.Input {
+		s.call(n, stored, func() reducer.StoreAnswer {
 			s.storeDeregistration(e)
 			stored.Result = reducer.StoreOK
 			return stored
 		})
 	case reducer.ReadDeregistration:
-		s.call(n, reducer.DeregistrationRead{Instance: e.Instance, Result: reducer.StoreUnknown}, func() reducer.Input {
+		s.call(n, reducer.DeregistrationRead{Instance: e.Instance, Result: reducer.StoreUnknown}, func() reducer.StoreAnswer {
 			record, ok := s.left[e.Instance]
 			if !ok {
 				return reducer.DeregistrationRead{Instance: e.Instance, Result: reducer.StoreAbsent}
@@ -53,7 +53,7 @@
 	}
 }
 
-func (s *Store) listDeregistrations() reducer.Input {
+func (s *Store) listDeregistrations() reducer.StoreAnswer {
 	listed := reducer.DeregistrationsListed{Result: reducer.StoreOK}
 	for _, instance := range slices.Sorted(maps.Keys(s.left)) {
 		r := s.left[instance]
--- /dev/null
+++ b/internal/pump/restore_test.go
@@ -0,0 +1,65 @@
+package pump
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+)
+
+// newDrillWorld returns a world of two zones with two nodes each, all of which read the store.
+func newDrillWorld(seed uint64) *World {
+	w := New(seed)
+	w.Store.Apply(readersRoutes, readersPools)
+	for _, n := range []struct{ id, zone string }{{"larvik-1", "Larvik"}, {"larvik-2", "Larvik"}, {"horten-1", "Horten"}, {"horten-2", "Horten"}} {
+		w.AddNode(reducer.NodeID(n.id), n.zone, "desk")
+	}
+	w.Run(20 * time.Second)
+	return w
+}
+
+// Guards against a version that does not come into force after the store has come back from a copy (review/12): the readers
+// watched on from a revision of before, which the write of that version gave out again.
+func TestVersionAfterADrillIsActive(t *testing.T) {
+	for lost := 1; lost <= 4; lost++ { // versions that the copy lacks; one of them is written again
+		for drills := 1; drills <= 2; drills++ {
+			w := newDrillWorld(uint64(lost))
+			for range drills {
+				older := w.Store.Copy()
+				for i := range lost {
+					w.Store.Apply(readersRoutes, []string{readersNext, readersPools}[i%2])
+					w.Run(w.Now + 500*time.Millisecond)
+				}
+				w.Store.Drill(older)
+				w.Run(w.Now + time.Second)
+			}
+			w.Run(w.Now + 4*time.Second)
+			for version := range lost + 1 {
+				w.Store.Apply(readersRoutes, []string{readersNext, readersPools}[version%2])
+				w.Run(w.Now + 2*time.Second)
+				if behind := versionsBehind(w); len(behind) > 0 {
+					t.Errorf("%d versions lost, %d drills: version %d is not active at %v 2 s after it was written", lost, drills, w.Store.newestNumber(), behind)
+				}
+			}
+		}
+	}
+}
+
+// Guards against nodes that ask a store for changes since a revision that it does not have, get 410, read, and ask the same
+// again, without a pause: four nodes made 1,700 calls in 4 s (review/12).
+func TestCallsAfterADrillArePaced(t *testing.T) {
+	w := newDrillWorld(1)
+	older := w.Store.Copy()
+	for range 20 {
+		w.Store.Apply(readersRoutes, readersNext)
+	}
+	w.Run(w.Now + time.Second)
+	w.Store.Drill(older)
+	w.Run(w.Now + drillOutage)
+	before := w.Store.Calls
+	w.Run(w.Now + 10*time.Second)
+	// In 10 s a reader reads once a backoff while the store is away, writes its entry again, and lists the entries twice.
+	if calls, most := w.Store.Calls-before, 4*20; calls > most {
+		t.Errorf("%d calls in 10 s after the drill, expected at most %d", calls, most)
+	}
+}
--- a/internal/pump/rollouts.go
+++ b/internal/pump/rollouts.go
@@ -65,16 +65,16 @@
 	case reducer.WatchRollouts:
 		s.watchRollouts(n, e, n.world.Now+watchTimeout)
 	case reducer.HoldRolloutLease:
-		s.call(n, reducer.RolloutLeaseHeld{Service: e.Service, Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.Input { return s.holdRolloutLease(e) })
+		s.call(n, reducer.RolloutLeaseHeld{Service: e.Service, Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.StoreAnswer { return s.holdRolloutLease(e) })
 	case reducer.WriteRollout:
-		s.call(n, reducer.RolloutWritten{Service: e.Rollout.Update.Service, Result: reducer.StoreUnknown}, func() reducer.Input { return s.writeRollout(e) })
+		s.call(n, reducer.RolloutWritten{Service: e.Rollout.Update.Service, Result: reducer.StoreUnknown}, func() reducer.StoreAnswer { return s.writeRollout(e) })
 	default:
 		return false
 	}
 	return true
 }
 
-func (s *Store) readRollouts() reducer.Input {
+func (s *Store) readRollouts() reducer.StoreAnswer {
 	read := reducer.RolloutsRead{Result: reducer.StoreOK, Revision: s.revision}
 	for _, service := range slices.Sorted(maps.Keys(s.rollouts.orders)) {
 		read.Orders = append(read.Orders, s.rollouts.orders[service])
@@ -89,16 +89,18 @@
 	n.after(StoreDelay+s.ExtraDelay, func() {
 		switch {
 		case s.isDownFor(n) || s.LoseAnswers:
-			n.post(callTimeout, reducer.RolloutsChanged{Result: reducer.StoreUnknown})
-		case s.revision > e.After || n.world.Now >= until:
-			n.reduce(reducer.RolloutsChanged{Result: reducer.StoreOK, Revision: s.revision})
+			n.post(callTimeout, reducer.RolloutsChanged{Result: reducer.StoreUnknown, After: e.After})
+		case s.revision < e.After.Number:
+			s.answer(n, reducer.RolloutsChanged{Result: reducer.StoreHistoryGone, After: e.After})
+		case s.revision > e.After.Number || n.world.Now >= until:
+			s.answer(n, reducer.RolloutsChanged{Result: reducer.StoreOK, After: e.After, Revision: s.revision})
 		default:
-			s.awaitWrite(n, func() { s.watchRollouts(n, e, until) })
+			s.awaitWrite(n, func() { s.watchRollouts(n, e, until) }, reducer.RolloutsChanged{Result: reducer.StoreUnknown, After: e.After})
 		}
 	})
 }
 
-func (s *Store) holdRolloutLease(e reducer.HoldRolloutLease) reducer.Input {
+func (s *Store) holdRolloutLease(e reducer.HoldRolloutLease) reducer.StoreAnswer {
 	held := reducer.RolloutLeaseHeld{Service: e.Service, Result: reducer.StoreOK, Lease: e.Lease}
 	if e.Lease != 0 {
 		if l := s.unexpiredLease(e.Lease); l != nil {
@@ -119,7 +121,7 @@
 	return held
 }
 
-func (s *Store) writeRollout(e reducer.WriteRollout) reducer.Input {
+func (s *Store) writeRollout(e reducer.WriteRollout) reducer.StoreAnswer {
 	service := e.Rollout.Update.Service
 	written := reducer.RolloutWritten{Service: service, Result: reducer.StoreConflict}
 	d := s.rollouts.deciders[service]
--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -24,6 +24,7 @@
 	world          *World
 	documents      []tables.Document
 	revision       uint64
+	era            uint64 // how often the store has come back from a copy, from 1 on
 	waitingWatches []func()
 	leases         map[uint64]*lease
 	left           map[string]leaveRecord // by instance of a backend server
@@ -47,7 +48,7 @@
 const watchPollInterval = 250 * time.Millisecond
 
 func newStore(w *World) *Store {
-	return &Store{world: w, leases: map[uint64]*lease{}, left: map[string]leaveRecord{}}
+	return &Store{world: w, era: 1, leases: map[uint64]*lease{}, left: map[string]leaveRecord{}}
 }
 
 // Heal ends all faults of the store.
@@ -132,11 +133,11 @@
 		n.watchSeq++
 		n.watchOpen = false
 	case reducer.GrantLease:
-		s.call(n, reducer.LeaseGranted{Result: reducer.StoreUnknown}, func() reducer.Input { return s.grant(e) })
+		s.call(n, reducer.LeaseGranted{Result: reducer.StoreUnknown}, func() reducer.StoreAnswer { return s.grant(e) })
 	case reducer.RenewLease:
-		s.call(n, reducer.LeaseRenewed{Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.Input { return s.renew(e) })
+		s.call(n, reducer.LeaseRenewed{Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.StoreAnswer { return s.renew(e) })
 	case reducer.AnnounceNode:
-		s.call(n, reducer.NodeAnnounced{Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.Input { return s.announce(e) })
+		s.call(n, reducer.NodeAnnounced{Result: reducer.StoreUnknown, Lease: e.Lease}, func() reducer.StoreAnswer { return s.announce(e) })
 	case reducer.ListNodes:
 		s.call(n, reducer.NodesListed{Result: reducer.StoreUnknown}, s.list)
 	case reducer.EndLease:
@@ -149,7 +150,7 @@
 
 // call carries out a call after the delay of the store and posts the answer. A store that is down does not carry it
 // out, one with LoseAnswers does; in both cases the node gets the unknown result after callTimeout.
-func (s *Store) call(n *Node, unknown reducer.Input, answer func() reducer.Input) {
+func (s *Store) call(n *Node, unknown reducer.StoreAnswer, answer func() reducer.StoreAnswer) {
 	s.Calls++
 	n.after(StoreDelay+s.ExtraDelay, func() {
 		switch {
@@ -161,18 +162,25 @@
 			answer()
 			n.post(callTimeout, unknown)
 		default:
-			n.reduce(answer())
+			s.answer(n, answer())
 		}
 	})
 }
 
-// watch answers when the store has a newer revision, or at the time until. The next watch of the node ends it.
+// answer reports the result of a call that the store has answered, with its era.
+func (s *Store) answer(n *Node, result reducer.StoreAnswer) {
+	n.reduce(reducer.StoreAnswered{Era: s.era, Answer: result})
+}
+
+// watch answers when the store has a newer revision, or at the time until. One after a revision that the store does not have
+// is answered at once. The next watch of the node ends it.
 func (s *Store) watch(n *Node, e reducer.WatchStore, until time.Duration) {
 	n.watchSeq++
 	s.continueWatch(n, n.watchSeq, e, until)
 }
 
 func (s *Store) continueWatch(n *Node, watchSeq int, e reducer.WatchStore, until time.Duration) {
+	failed := reducer.StoreRead{Result: reducer.StoreUnknown, Watch: true, After: e.After}
 	n.after(StoreDelay+s.ExtraDelay, func() {
 		if n.watchSeq != watchSeq {
 			return
@@ -182,32 +190,40 @@
 		case s.turnedAway[n.ID] == Silent: // the connection fails silently, for good
 			n.after(max(until-n.world.Now, 0), func() {
 				if n.watchSeq == watchSeq {
-					n.reduce(reducer.StoreRead{Result: reducer.StoreUnknown, Watch: true})
+					n.reduce(failed)
 				}
 			})
 		case s.turnedAway[n.ID] == Refused:
-			n.reduce(reducer.StoreRead{Result: reducer.StoreUnknown, Watch: true})
+			n.reduce(failed)
 		case s.isDownFor(n) || s.LoseAnswers:
-			n.post(callTimeout, reducer.StoreRead{Result: reducer.StoreUnknown, Watch: true})
-		case s.revision > e.After || n.world.Now >= until:
+			n.post(callTimeout, failed)
+		case s.revision < e.After.Number:
+			s.answer(n, reducer.StoreRead{Result: reducer.StoreHistoryGone, Watch: true, After: e.After})
+		case s.revision > e.After.Number || n.world.Now >= until:
 			read := s.read().(reducer.StoreRead)
-			read.Watch = true
-			n.reduce(read)
+			read.Watch, read.After = true, e.After
+			s.answer(n, read)
 		default:
 			n.watchOpen = true
-			s.awaitWrite(n, func() { s.continueWatch(n, watchSeq, e, until) })
+			s.awaitWrite(n, func() { s.continueWatch(n, watchSeq, e, until) }, failed)
 		}
 	})
 }
 
-// awaitWrite resumes a watch at the next write, or after watchPollInterval, so that it notices a failed store.
-func (s *Store) awaitWrite(n *Node, resume func()) {
-	processSeq, done := n.processSeq, false
+// awaitWrite resumes a watch at the next write, or after watchPollInterval, so that it notices a failed store. A watch that
+// waits when the store comes back from a copy fails.
+func (s *Store) awaitWrite(n *Node, resume func(), failed reducer.Input) {
+	processSeq, era, done := n.processSeq, s.era, false
 	once := func() {
-		if !done && n.processSeq == processSeq && n.Up {
-			done = true
+		switch {
+		case done || n.processSeq != processSeq || !n.Up:
+			return
+		case s.era != era:
+			n.post(LinkDelay, failed)
+		default:
 			resume()
 		}
+		done = true
 	}
 	s.waitingWatches = append(s.waitingWatches, once)
 	n.after(watchPollInterval, once)
@@ -216,6 +232,10 @@
 // notifyWatches increments the revision and resumes the waiting watches.
 func (s *Store) notifyWatches() {
 	s.revision++
+	s.resumeWatches()
+}
+
+func (s *Store) resumeWatches() {
 	watches := s.waitingWatches
 	s.waitingWatches = nil
 	for _, resume := range watches {
@@ -223,14 +243,14 @@
 	}
 }
 
-func (s *Store) read() reducer.Input {
+func (s *Store) read() reducer.StoreAnswer {
 	if len(s.documents) == 0 {
 		return reducer.StoreRead{Result: reducer.StoreAbsent, Revision: s.revision}
 	}
 	return reducer.StoreRead{Result: reducer.StoreOK, Document: s.documents[len(s.documents)-1], Revision: s.revision}
 }
 
-func (s *Store) grant(e reducer.GrantLease) reducer.Input {
+func (s *Store) grant(e reducer.GrantLease) reducer.StoreAnswer {
 	s.lastLease++
 	s.leases[s.lastLease] = &lease{expiresAt: s.world.Now + e.TTL, ttl: e.TTL}
 	return reducer.LeaseGranted{Result: reducer.StoreOK, Lease: s.lastLease}
@@ -244,7 +264,7 @@
 	return nil
 }
 
-func (s *Store) renew(e reducer.RenewLease) reducer.Input {
+func (s *Store) renew(e reducer.RenewLease) reducer.StoreAnswer {
 	l := s.unexpiredLease(e.Lease)
 	if l == nil {
 		return reducer.LeaseRenewed{Result: reducer.StoreNoLease, Lease: e.Lease}
@@ -253,7 +273,7 @@
 	return reducer.LeaseRenewed{Result: reducer.StoreOK, Lease: e.Lease}
 }
 
-func (s *Store) announce(e reducer.AnnounceNode) reducer.Input {
+func (s *Store) announce(e reducer.AnnounceNode) reducer.StoreAnswer {
 	l := s.unexpiredLease(e.Lease)
 	if l == nil {
 		return reducer.NodeAnnounced{Result: reducer.StoreNoLease, Lease: e.Lease}
@@ -262,7 +282,7 @@
 	return reducer.NodeAnnounced{Result: reducer.StoreOK, Lease: e.Lease}
 }
 
-func (s *Store) list() reducer.Input {
+func (s *Store) list() reducer.StoreAnswer {
 	if !s.Stale {
 		s.listedNodes = nil
 		for _, id := range slices.Sorted(maps.Keys(s.leases)) {
--- a/internal/standin/platform/fault.go
+++ b/internal/standin/platform/fault.go
@@ -32,6 +32,8 @@
 	FaultRateLimit   FaultKind = "rate_limit"   // responds with 429 to calls that exceed Limit per second
 	FaultSilentWatch FaultKind = "silent_watch" // holds each watch without a response until the client gives up
 	FaultCutWatch    FaultKind = "cut_watch"    // closes the connections of all waiting watches immediately
+	FaultCopy        FaultKind = "copy"         // makes a copy of the store; nothing else happens
+	FaultRestore     FaultKind = "restore"      // puts the last copy in place of the store, cuts watches and begins a new era
 	FaultHistory     FaultKind = "history"      // drops all past events immediately; a watch from an earlier revision gets 410
 )
 
@@ -65,8 +67,11 @@
 			s.endLease(id)
 		}
 	case FaultCutWatch:
-		close(s.faults.cutWatches)
-		s.faults.cutWatches = make(chan struct{})
+		s.cutWatches()
+	case FaultCopy:
+		s.copied = s.copyContents()
+	case FaultRestore:
+		return s.restore()
 	case FaultHistory:
 		s.events, s.compactedRevision = nil, s.revision
 	case FaultDown, FaultSilent, FaultBusy, FaultSlow, FaultAnswerLost, FaultLateWrite, FaultStaleRead, FaultRateLimit, FaultSilentWatch:
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/platform"
@@ -33,6 +34,8 @@
 	changed           chan struct{} // closed and replaced at each change
 	calls             Calls
 	faults            faultState
+	copied            contents      // by FaultCopy
+	era               atomic.Uint64 // how often the store has come back from a copy, from 1 on
 }
 
 // Calls holds the numbers of calls received, answered or not.
@@ -50,10 +53,12 @@
 
 // New returns an empty store.
 func New() *Server {
-	return &Server{
+	s := &Server{
 		items: map[string]kv.Item{}, previous: map[string]kv.Item{}, leases: map[uint64]*lease{}, revision: 1,
 		changed: make(chan struct{}), faults: faultState{active: map[FaultKind]Fault{}, cutWatches: make(chan struct{})},
 	}
+	s.era.Store(1)
+	return s
 }
 
 // Calls returns the numbers of calls received so far.
@@ -89,11 +94,22 @@
 	s.mu.Lock()
 	*counter++
 	s.mu.Unlock()
-	if s.applyFaults(w, r) {
+	if w = (eraWriter{w, s}); s.applyFaults(w, r) {
 		handle(w, r, body)
 	}
 }
 
+// eraWriter states the era of the store in the head of each response, as it is when the response is written.
+type eraWriter struct {
+	http.ResponseWriter
+	server *Server
+}
+
+func (w eraWriter) WriteHeader(status int) {
+	w.Header().Set(kv.HeaderEra, strconv.FormatUint(w.server.era.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
 type handler func(w http.ResponseWriter, r *http.Request, body []byte)
 
 // findHandler returns the handler for a call and the counter of its kind, or nil for an unknown path or
@@ -165,7 +181,7 @@
 	}
 	s.mu.Lock()
 	_, silent := s.consumeFault(FaultSilentWatch)
-	compacted := after < s.compactedRevision
+	compacted := after < s.compactedRevision || after > s.revision
 	s.mu.Unlock()
 	switch {
 	case silent:
--- a/reducer/config_reader.go
+++ b/reducer/config_reader.go
@@ -1,6 +1,10 @@
 package reducer
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
+)
 
 // Limits and intervals of the calls to the platform's store. In steady state a reader sends one watch every 10 s, and
 // one for each change.
@@ -28,10 +32,11 @@
 
 // readerState tracks this node's reads and watches of the tables in the store.
 type readerState struct {
-	revision        uint64 // highest store revision seen; watches continue from it
-	loggedMalformed uint64 // last store revision whose malformed value was logged
+	revision        storeera.Revision // latest store revision seen; watches continue from it
+	loggedMalformed storeera.Revision // of the last malformed value that was logged
 	read            platformCall
 	watch           platformCall
+	watchedAfter    storeera.Revision // of the watch in flight
 	// watchTAT is the theoretical arrival time of the generic cell rate algorithm: when the next watch would be sent at
 	// a steady rate of one per watchInterval.
 	watchTAT    time.Duration
@@ -92,9 +97,9 @@
 	reader := &s.config.reader
 	switch {
 	case !s.isReader():
-	case reader.revision == 0 && reader.read.backoff == 0:
+	case reader.revision.Number == 0 && reader.read.backoff == 0:
 		s.readStore()
-	case reader.revision > 0 && reader.watch.backoff == 0:
+	case reader.revision.Number > 0 && reader.watch.backoff == 0:
 		s.watchStore()
 	}
 }
@@ -122,7 +127,7 @@
 		s.timers.set(timerKey{kind: timerStoreWatch}, reader.nextWatchAt)
 		return
 	}
-	reader.watch.inFlight = true
+	reader.watch.inFlight, reader.watchedAfter = true, reader.revision
 	reader.watchTAT = max(reader.watchTAT, s.now) + watchInterval
 	s.emit(WatchStore{After: reader.revision})
 }
@@ -136,6 +141,20 @@
 	}
 }
 
+// restartReader forgets the revision from which this node watches, which is one of an earlier era, and reads the store. The
+// answer of the watch that may still be waiting would continue from that revision.
+func (s *State) restartReader() {
+	reader := &s.config.reader
+	reader.revision = storeera.Revision{}
+	if reader.watch.inFlight {
+		reader.watch.inFlight = false
+		s.emit(EndWatch{})
+	}
+	if s.isReader() {
+		s.timers.set(timerKey{kind: timerStoreRead}, s.now)
+	}
+}
+
 // nextWatchTime returns the earliest time of the next watch, which may be part of a burst if the last one brought a new
 // revision.
 func (s *State) nextWatchTime(newRevision bool) time.Duration {
@@ -151,6 +170,9 @@
 	reader := &s.config.reader
 	call, timer := &reader.read, timerKey{kind: timerStoreRead}
 	if in.Watch {
+		if !reader.watch.inFlight || in.After != reader.watchedAfter {
+			return // it was given up, and a read covers what it reports
+		}
 		call, timer = &reader.watch, timerKey{kind: timerStoreWatch}
 	}
 	call.inFlight = false
@@ -163,16 +185,15 @@
 			s.timers.cancel(timerKey{kind: timerStoreRead})
 		}
 		if in.Watch {
-			reader.nextWatchAt = s.nextWatchTime(in.Revision > reader.revision)
+			reader.nextWatchAt = s.nextWatchTime(s.storeEra.At(in.Revision).IsAfter(reader.revision))
 		}
 		s.considerStoreContent(in)
 		s.timers.set(timerKey{kind: timerStoreWatch}, max(s.now, reader.nextWatchAt))
 		if s.config.active == nil && in.Result == StoreAbsent {
 			s.timers.set(timerKey{kind: timerStoreRead}, s.now+maxStoreBackoff)
 		}
-	case StoreHistoryGone:
-		call.recordSuccess()
-		s.timers.set(timerKey{kind: timerStoreRead}, s.now)
+	case StoreHistoryGone: // a store whose history is gone each time would otherwise be asked without a pause
+		s.timers.set(timerKey{kind: timerStoreRead}, s.now+s.recordFailure(call))
 	default:
 		wait := s.recordFailure(call)
 		if in.Watch { // a change may have been missed while the watch failed; a successful read starts the next watch
@@ -184,15 +205,17 @@
 
 // considerStoreContent considers the document that the store holds, or reports a value that is not one.
 func (s *State) considerStoreContent(in StoreRead) {
-	reader := &s.config.reader
-	reader.revision = max(reader.revision, in.Revision)
+	reader, revision := &s.config.reader, s.storeEra.At(in.Revision)
+	if revision.IsAfter(reader.revision) {
+		reader.revision = revision
+	}
 	switch in.Result {
 	case StoreOK:
 		s.considerCandidate(&candidate{id: in.Document.ID(), document: in.Document, fromStore: true})
 	case StoreMalformed:
 		s.config.refusals.Malformed++
-		if reader.loggedMalformed != in.Revision {
-			reader.loggedMalformed = in.Revision
+		if reader.loggedMalformed != revision {
+			reader.loggedMalformed = revision
 			s.log(LevelError, "configuration refused: the value in the store is not a document",
 				Field{"revision", in.Revision}, Field{"problem", in.Problem}, Field{"active", s.config.active.ID().Number})
 		}
--- a/reducer/config_sim_test.go
+++ b/reducer/config_sim_test.go
@@ -103,7 +103,7 @@
 				continue
 			}
 			delete(m.store.watches, event.node)
-			event.in = StoreRead{Result: StoreUnchanged, Watch: true, Revision: m.store.revision}
+			event.in = m.watched(event.node, StoreRead{Result: StoreUnchanged, Revision: m.store.revision})
 		}
 		if state := m.nodes[event.node]; state != nil {
 			for _, effect := range Reduce(state, Event{Now: m.now, Rand: m.random.Uint64(), Input: event.in}) {
@@ -143,17 +143,23 @@
 	}
 }
 
-func (m *sim) read(watch bool) StoreRead {
+// watched makes a result that of the watch which a node has in flight.
+func (m *sim) watched(node string, result StoreRead) StoreRead {
+	result.Watch, result.After = true, m.nodes[node].config.reader.watchedAfter
+	return result
+}
+
+func (m *sim) read() StoreRead {
 	p := &m.store
 	switch {
 	case p.down:
-		return StoreRead{Result: StoreUnknown, Watch: watch}
+		return StoreRead{Result: StoreUnknown}
 	case p.stale:
-		return StoreRead{Result: StoreOK, Watch: watch, Document: p.previous, Revision: p.revision - 1}
+		return StoreRead{Result: StoreOK, Document: p.previous, Revision: p.revision - 1}
 	case p.revision == 0:
-		return StoreRead{Result: StoreAbsent, Watch: watch}
+		return StoreRead{Result: StoreAbsent}
 	}
-	return StoreRead{Result: StoreOK, Watch: watch, Document: p.doc, Revision: p.revision}
+	return StoreRead{Result: StoreOK, Document: p.doc, Revision: p.revision}
 }
 
 func (m *sim) callStore(node string, effect Effect) {
@@ -162,13 +168,13 @@
 	switch e := effect.(type) {
 	case ReadStore:
 		p.historyLost = false
-		m.schedule(answerDelay, node, m.read(false))
+		m.schedule(answerDelay, node, m.read())
 	case WatchStore:
 		switch {
 		case p.historyLost:
-			m.schedule(answerDelay, node, StoreRead{Result: StoreHistoryGone, Watch: true})
-		case p.down || p.revision > e.After:
-			m.schedule(answerDelay, node, m.read(true))
+			m.schedule(answerDelay, node, m.watched(node, StoreRead{Result: StoreHistoryGone}))
+		case p.down || p.revision > e.After.Number:
+			m.schedule(answerDelay, node, m.watched(node, m.read()))
 		default:
 			p.lastWatch++
 			p.watches[node] = p.lastWatch
@@ -236,7 +242,7 @@
 	p.revision++
 	for _, node := range slices.Sorted(maps.Keys(p.watches)) {
 		if !m.silentZones[m.nodes[node].cfg.Zone] {
-			m.schedule(time.Millisecond, node, m.read(true))
+			m.schedule(time.Millisecond, node, m.watched(node, m.read()))
 			delete(p.watches, node)
 		}
 	}
@@ -245,7 +251,7 @@
 // cutWatches ends all open watches without an answer of the store.
 func (m *sim) cutWatches() {
 	for _, node := range slices.Sorted(maps.Keys(m.store.watches)) {
-		m.schedule(time.Millisecond, node, StoreRead{Result: StoreUnknown, Watch: true})
+		m.schedule(time.Millisecond, node, m.watched(node, StoreRead{Result: StoreUnknown}))
 	}
 	clear(m.store.watches)
 }
--- a/reducer/config_test.go
+++ b/reducer/config_test.go
@@ -174,7 +174,7 @@
 			if test.newRevisions {
 				revision++
 			}
-			effects := Reduce(s, Event{Now: now, Input: StoreRead{Result: StoreAbsent, Watch: true, Revision: revision}})
+			effects := Reduce(s, Event{Now: now, Input: StoreRead{Result: StoreAbsent, Watch: true, After: s.config.reader.watchedAfter, Revision: revision}})
 			if test.newRevisions && watches < watchBurst && !s.config.reader.watch.inFlight {
 				t.Errorf("%s: watch %d is not followed by another watch at once: %v", name, watches, effects)
 			}
--- a/reducer/effect.go
+++ b/reducer/effect.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -179,7 +180,7 @@
 
 // WatchStore waits for a change of the document in the platform's store after a revision. It ends a watch that is still
 // waiting, whose result is then not reported.
-type WatchStore struct{ After uint64 }
+type WatchStore struct{ After storeera.Revision }
 
 // EndWatch ends the watch that WatchStore began, if it is still waiting. Its result is not reported.
 type EndWatch struct{}
@@ -232,7 +233,7 @@
 type ReadRollouts struct{}
 
 // WatchRollouts waits for a change of an order in the platform's store after a revision.
-type WatchRollouts struct{ After uint64 }
+type WatchRollouts struct{ After storeera.Revision }
 
 // HoldRolloutLease renews the lease by which this node decides the roll-out of a service, or acquires one if Lease is 0.
 type HoldRolloutLease struct {
--- a/reducer/event.go
+++ b/reducer/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -274,13 +275,21 @@
 // StatusRequested asks for a Status.
 type StatusRequested struct{ Exchange Handle }
 
+// StoreAnswered carries the result of a call to the platform's store that was answered.
+type StoreAnswered struct {
+	Era    uint64 // latest era that the answers of the call state; 0 if they state none
+	Mixed  bool   // the call took several steps, and their answers are of several eras
+	Answer StoreAnswer
+}
+
 // StoreRead reports the result of a ReadStore or WatchStore effect.
 type StoreRead struct {
 	Result   StoreResult
 	Watch    bool
-	Document tables.Document // for StoreOK
-	Revision uint64          // revision of the store after which the next watch starts
-	Problem  string          // for StoreMalformed
+	After    storeera.Revision // of the WatchStore effect
+	Document tables.Document   // for StoreOK
+	Revision uint64            // revision of the store after which the next watch starts
+	Problem  string            // for StoreMalformed
 }
 
 // LeaseGranted reports the result of a GrantLease effect.
@@ -334,6 +343,7 @@
 // RolloutsChanged reports the end of a WatchRollouts effect: StoreOK if an order may have changed.
 type RolloutsChanged struct {
 	Result   StoreResult
+	After    storeera.Revision // of the effect
 	Revision uint64
 }
 
@@ -365,9 +375,10 @@
 	StoreUnknown     // no answer in time, or an unreadable one
 	StoreMalformed   // the stored value is not a document
 	StoreConflict    // nothing was written: another writer was first
+	StoreOutdated    // the answer is of an earlier era of the store
 )
 
-var storeResultNames = [...]string{"", "ok", "absent", "unchanged", "history_gone", "no_lease", "unknown", "malformed", "conflict"}
+var storeResultNames = [...]string{"", "ok", "absent", "unchanged", "history_gone", "no_lease", "unknown", "malformed", "conflict", "outdated"}
 
 func (r StoreResult) String() string {
 	if int(r) < len(storeResultNames) {
@@ -434,6 +445,7 @@
 func (TimerDue) input()              {}
 func (ShutdownRequested) input()     {}
 func (StatusRequested) input()       {}
+func (StoreAnswered) input()         {}
 func (StoreRead) input()             {}
 func (LeaseGranted) input()          {}
 func (LeaseRenewed) input()          {}
--- a/reducer/rollout_state.go
+++ b/reducer/rollout_state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 )
 
 // Intervals of the roll-outs of versions.
@@ -37,10 +38,11 @@
 	movedAt      map[string]time.Duration // when traffic of a service last moved between versions
 
 	read, watch     platformCall
-	readAt, watchAt time.Duration // earliest times of the next calls
-	readAgain       bool          // the read in flight may have missed a change
-	revision        uint64        // of the store, after which the next watch starts
-	readsLeft       int           // reads after a change that follow soon
+	readAt, watchAt time.Duration     // earliest times of the next calls
+	readAgain       bool              // the read in flight may have missed a change
+	revision        storeera.Revision // of the store, after which the next watch starts
+	watchedAfter    storeera.Revision // of the watch in flight
+	readsLeft       int               // reads after a change that follow soon
 	hasRead         bool
 	fetchedAt       time.Duration
 	ended           map[NodeID]Incarnation // nodes whose address refused a connection
@@ -118,7 +120,7 @@
 		s.emit(ReadRollouts{})
 	}
 	if r.hasRead && !r.watch.inFlight && s.now >= r.watchAt {
-		r.watch.inFlight = true
+		r.watch.inFlight, r.watchedAfter = true, r.revision
 		s.emit(WatchRollouts{After: r.revision})
 	}
 }
@@ -131,19 +133,21 @@
 
 func (s *State) handleRolloutsChanged(in RolloutsChanged) {
 	r := &s.rollouts
-	r.watch.inFlight = false
 	s.noteStoreAnswer(in.Result != StoreUnknown)
+	if !r.watch.inFlight || in.After != r.watchedAfter {
+		return // it was given up, and a read covers what it reports
+	}
+	r.watch.inFlight = false
 	switch in.Result {
 	case StoreOK, StoreUnchanged:
 		r.watch.recordSuccess()
 		r.watchAt = s.now + openReadInterval
-		if in.Revision > r.revision {
-			r.revision, r.readsLeft = in.Revision, staleReads
+		if revision := s.storeEra.At(in.Revision); revision.IsAfter(r.revision) {
+			r.revision, r.readsLeft = revision, staleReads
 			s.readRolloutsNow()
 		}
 	case StoreHistoryGone:
-		r.watch.recordSuccess()
-		r.watchAt, r.hasRead = s.now, false // a read gives the revision to continue from
+		r.watchAt, r.hasRead = s.now+s.recordFailure(&r.watch), false // a read gives the revision to continue from
 		s.readRolloutsNow()
 	default:
 		r.watchAt = s.now + s.recordFailure(&r.watch)
@@ -160,7 +164,10 @@
 		return
 	}
 	r.read.recordSuccess()
-	r.revision, r.hasRead = max(r.revision, in.Revision), true
+	if revision := s.storeEra.At(in.Revision); revision.IsAfter(r.revision) {
+		r.revision = revision
+	}
+	r.hasRead = true
 	r.orders = map[string]rollout.Order{}
 	for _, order := range in.Orders {
 		r.orders[order.Service] = order
--- a/reducer/rollout_test.go
+++ b/reducer/rollout_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 )
 
 // Guards against a reader that watches on from a revision whose history the store has forgotten, and so misses an order.
@@ -21,10 +22,10 @@
 		want  Effect
 	}{
 		{TimerDue{}, ReadRollouts{}},
-		{RolloutsRead{Result: StoreOK, Revision: 5}, WatchRollouts{After: 5}},
-		{RolloutsChanged{Result: StoreHistoryGone}, ReadRollouts{}},
-		{RolloutsRead{Result: StoreOK, Revision: 9}, WatchRollouts{After: 9}},
-		{RolloutsChanged{Result: StoreOK, Revision: 11}, ReadRollouts{}},
+		{RolloutsRead{Result: StoreOK, Revision: 5}, WatchRollouts{After: storeera.Revision{Number: 5}}},
+		{RolloutsChanged{Result: StoreHistoryGone, After: storeera.Revision{Number: 5}}, ReadRollouts{}},
+		{RolloutsRead{Result: StoreOK, Revision: 9}, WatchRollouts{After: storeera.Revision{Number: 9}}},
+		{RolloutsChanged{Result: StoreOK, After: storeera.Revision{Number: 9}, Revision: 11}, ReadRollouts{}},
 	} {
 		if effects := reduce(step.input); !slices.Contains(effects, step.want) {
 			t.Errorf("%+v: effects %+v, expected %+v", step.input, effects, step.want)
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/quota"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 	"github.com/rosemaryhatch/rosemaryhatch/tables"
 )
 
@@ -96,6 +97,7 @@
 	owners   ownerState
 	shutdown shutdownState
 	platform platformState
+	storeEra storeera.Tracker
 
 	registration registrationState
 	quota        quotaState
@@ -189,6 +191,8 @@
 		s.handleShutdownRequested()
 	case StatusRequested:
 		s.emit(AnswerStatus{Exchange: in.Exchange, Status: s.status()})
+	case StoreAnswered:
+		s.handleStoreAnswered(in)
 	case StoreRead:
 		s.handleStoreRead(in)
 	case LeaseGranted:
--- a/runner/store/deregistrations.go
+++ b/runner/store/deregistrations.go
@@ -53,7 +53,7 @@
 
 // readDeregistration reads the record of a deregistration. The result is StoreAbsent if there is none, and
 // StoreMalformed if it cannot be read.
-func (r *Runner) readDeregistration(ctx context.Context, e reducer.ReadDeregistration) reducer.Input {
+func (r *Runner) readDeregistration(ctx context.Context, e reducer.ReadDeregistration) reducer.StoreAnswer {
 	entry, err := r.store.Get(ctx, platform.KeyDeregistrationPrefix+e.Instance)
 	read := reducer.DeregistrationRead{Instance: e.Instance, Result: errorResult(err)}
 	if err != nil {
@@ -74,7 +74,7 @@
 
 // listDeregistrations lists the records. It leaves out those of another writer that cannot be read, and those of
 // earlier releases, which lie under a lease.
-func (r *Runner) listDeregistrations(ctx context.Context) reducer.Input {
+func (r *Runner) listDeregistrations(ctx context.Context) reducer.StoreAnswer {
 	entries, err := r.store.List(ctx, platform.KeyDeregistrationPrefix)
 	listed := reducer.DeregistrationsListed{Result: errorResult(err)}
 	for _, entry := range entries {
--- a/runner/store/rollouts.go
+++ b/runner/store/rollouts.go
@@ -17,11 +17,11 @@
 	case reducer.ReadRollouts:
 		r.run(callTimeout, r.readRollouts)
 	case reducer.WatchRollouts:
-		r.run(watchWait+watchMargin, func(ctx context.Context) reducer.Input { return r.watchRollouts(ctx, e) })
+		r.run(watchWait+watchMargin, func(ctx context.Context) reducer.StoreAnswer { return r.watchRollouts(ctx, e) })
 	case reducer.HoldRolloutLease:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input { return r.holdRolloutLease(ctx, e) })
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer { return r.holdRolloutLease(ctx, e) })
 	case reducer.WriteRollout:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input { return r.writeRollout(ctx, e) })
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer { return r.writeRollout(ctx, e) })
 	default:
 		return false
 	}
@@ -29,21 +29,21 @@
 }
 
 // watchRollouts waits for a change of an order. Only the revision is used: the orders are read in full.
-func (r *Runner) watchRollouts(ctx context.Context, e reducer.WatchRollouts) reducer.Input {
-	outcome, entry, err := r.store.Watch(ctx, r.rollouts.Prefix, e.After, watchWait)
+func (r *Runner) watchRollouts(ctx context.Context, e reducer.WatchRollouts) reducer.StoreAnswer {
+	outcome, entry, err := r.store.Watch(ctx, r.rollouts.Prefix, e.After.Number, watchWait)
+	changed := reducer.RolloutsChanged{Result: reducer.StoreOK, After: e.After, Revision: entry.StoreRevision}
 	switch {
 	case err != nil:
-		return reducer.RolloutsChanged{Result: reducer.StoreUnknown}
+		changed.Result = reducer.StoreUnknown
 	case outcome == platform.HistoryGone:
-		return reducer.RolloutsChanged{Result: reducer.StoreHistoryGone}
-	default:
-		return reducer.RolloutsChanged{Result: reducer.StoreOK, Revision: entry.StoreRevision}
+		changed.Result = reducer.StoreHistoryGone
 	}
+	return changed
 }
 
 // readRollouts reads the orders and the stored states. Lists may be stale: the revision is read before them, so that no
 // change is missed, and an order that is missing beside a running state is read on its own.
-func (r *Runner) readRollouts(ctx context.Context) reducer.Input {
+func (r *Runner) readRollouts(ctx context.Context) reducer.StoreAnswer {
 	unknown := reducer.RolloutsRead{Result: reducer.StoreUnknown}
 	first, err := r.store.Get(ctx, r.rollouts.Prefix)
 	if err != nil {
@@ -117,7 +117,7 @@
 }
 
 // holdRolloutLease renews the lease of the decider's key, or acquires one if the key does not exist.
-func (r *Runner) holdRolloutLease(ctx context.Context, e reducer.HoldRolloutLease) reducer.Input {
+func (r *Runner) holdRolloutLease(ctx context.Context, e reducer.HoldRolloutLease) reducer.StoreAnswer {
 	held := reducer.RolloutLeaseHeld{Service: e.Service, Result: reducer.StoreUnknown, Lease: e.Lease}
 	if e.Lease != 0 {
 		outcome, _ := r.store.RenewLease(ctx, platform.LeaseID(e.Lease)) // the outcome suffices; the error only gives its cause
@@ -149,7 +149,7 @@
 }
 
 // writeRollout writes the state and the status of a roll-out in one transaction.
-func (r *Runner) writeRollout(ctx context.Context, e reducer.WriteRollout) reducer.Input {
+func (r *Runner) writeRollout(ctx context.Context, e reducer.WriteRollout) reducer.StoreAnswer {
 	service := e.Rollout.Update.Service
 	value, err := json.Marshal(e.Rollout)
 	if err != nil {
--- a/runner/store/rollouts_test.go
+++ b/runner/store/rollouts_test.go
@@ -9,6 +9,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/platform/hosted"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 )
 
 func testRollout(state rollout.State) rollout.Stored {
@@ -66,7 +67,7 @@
 	f.server.OperatorPut(hosted.KeyConfig, []byte(`{}`))
 	read := f.perform(t, reducer.ReadRollouts{}).(reducer.RolloutsRead)
 	time.AfterFunc(50*time.Millisecond, func() { f.server.OperatorPut("op/rollout/desk", []byte(`{}`)) })
-	changed := f.perform(t, reducer.WatchRollouts{After: read.Revision}).(reducer.RolloutsChanged)
+	changed := f.perform(t, reducer.WatchRollouts{After: storeera.Revision{Number: read.Revision}}).(reducer.RolloutsChanged)
 	if changed.Result != reducer.StoreOK || changed.Revision <= read.Revision {
 		t.Errorf("watch after %d reports %+v", read.Revision, changed)
 	}
--- a/runner/store/store.go
+++ b/runner/store/store.go
@@ -60,32 +60,32 @@
 	case reducer.EndWatch:
 		r.endWatch()
 	case reducer.GrantLease:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer {
 			lease, err := r.store.GrantLease(ctx, e.TTL)
 			return reducer.LeaseGranted{Result: errorResult(err), Lease: uint64(lease)}
 		})
 	case reducer.RenewLease:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer {
 			outcome, _ := r.store.RenewLease(ctx, platform.LeaseID(e.Lease)) // the outcome suffices; the error only gives its cause
 			return reducer.LeaseRenewed{Result: writeResult(outcome), Lease: e.Lease}
 		})
 	case reducer.AnnounceNode:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input { return r.announceNode(ctx, e) })
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer { return r.announceNode(ctx, e) })
 	case reducer.EndLease:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer {
 			_ = r.store.EndLease(ctx, platform.LeaseID(e.Lease)) // if this fails, the lease expires
 			return nil
 		})
 	case reducer.StoreDeregistration:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer {
 			return reducer.DeregistrationStored{Exchange: e.Exchange, Instance: e.Instance, At: e.At, Result: r.storeDeregistration(ctx, e)}
 		})
 	case reducer.ReadDeregistration:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input { return r.readDeregistration(ctx, e) })
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer { return r.readDeregistration(ctx, e) })
 	case reducer.ListDeregistrations:
 		r.run(callTimeout, r.listDeregistrations)
 	case reducer.RemoveDeregistrations:
-		r.run(callTimeout, func(ctx context.Context) reducer.Input {
+		r.run(callTimeout, func(ctx context.Context) reducer.StoreAnswer {
 			r.removeDeregistrations(ctx, e)
 			return nil
 		})
@@ -98,17 +98,28 @@
 }
 
 // run makes a call in a new goroutine, with the given timeout, and posts the result unless it is nil.
-func (r *Runner) run(timeout time.Duration, call func(context.Context) reducer.Input) {
+func (r *Runner) run(timeout time.Duration, call func(context.Context) reducer.StoreAnswer) {
 	r.goroutines.Go(func() {
 		ctx, cancel := context.WithTimeout(r.ctx, timeout)
 		defer cancel()
-		if result := call(ctx); result != nil {
+		if result, ok := inEra(ctx, call); ok {
 			r.post(result)
 		}
 	})
 }
 
-func (r *Runner) readDocument(ctx context.Context) reducer.Input {
+// inEra makes a call and returns its result with the era that its answers state. It returns false if the call has no result.
+func inEra(ctx context.Context, call func(context.Context) reducer.StoreAnswer) (reducer.StoreAnswered, bool) {
+	var result reducer.StoreAnswered
+	ctx = platform.WithEraObserver(ctx, func(era uint64) { // a call takes its steps one after the other
+		result.Mixed = result.Mixed || result.Era != 0 && result.Era != era
+		result.Era = max(result.Era, era)
+	})
+	result.Answer = call(ctx)
+	return result, result.Answer != nil
+}
+
+func (r *Runner) readDocument(ctx context.Context) reducer.StoreAnswer {
 	entry, err := r.store.Get(ctx, r.source.Key)
 	if err != nil {
 		return reducer.StoreRead{Result: reducer.StoreUnknown}
@@ -125,14 +136,15 @@
 		defer end()
 		ctx, cancel := context.WithTimeout(watch, watchWait+watchMargin)
 		defer cancel()
-		if read := r.watchDocument(ctx, e); watch.Err() == nil {
-			r.post(read)
+		result, _ := inEra(ctx, func(ctx context.Context) reducer.StoreAnswer { return r.watchDocument(ctx, e) })
+		if watch.Err() == nil {
+			r.post(result)
 		}
 	})
 }
 
-func (r *Runner) watchDocument(ctx context.Context, e reducer.WatchStore) reducer.Input {
-	outcome, entry, err := r.store.Watch(ctx, r.source.Key, e.After, watchWait)
+func (r *Runner) watchDocument(ctx context.Context, e reducer.WatchStore) reducer.StoreAnswer {
+	outcome, entry, err := r.store.Watch(ctx, r.source.Key, e.After.Number, watchWait)
 	read := reducer.StoreRead{Result: reducer.StoreUnknown}
 	switch {
 	case err != nil:
@@ -143,7 +155,7 @@
 	default:
 		read.Result, read.Revision = reducer.StoreUnchanged, entry.StoreRevision
 	}
-	read.Watch = true
+	read.Watch, read.After = true, e.After
 	return read
 }
 
@@ -166,7 +178,7 @@
 	return read
 }
 
-func (r *Runner) announceNode(ctx context.Context, e reducer.AnnounceNode) reducer.Input {
+func (r *Runner) announceNode(ctx context.Context, e reducer.AnnounceNode) reducer.StoreAnswer {
 	value, err := json.Marshal(e.Entry)
 	if err != nil {
 		panic(err) // cannot happen: the fields of the entry are strings and numbers
@@ -176,7 +188,7 @@
 }
 
 // listNodes reads the entries of all nodes. Entries that no node can have written are listed apart.
-func (r *Runner) listNodes(ctx context.Context) reducer.Input {
+func (r *Runner) listNodes(ctx context.Context) reducer.StoreAnswer {
 	entries, err := r.store.List(ctx, platform.KeyNodePrefix)
 	listed := reducer.NodesListed{Result: errorResult(err)}
 	for _, entry := range entries {
--- a/runner/store/store_test.go
+++ b/runner/store/store_test.go
@@ -12,6 +12,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/platform"
 	"github.com/rosemaryhatch/rosemaryhatch/platform/kv"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 )
 
 // fixture is a runner that is connected to a stand-in of the platform.
@@ -40,7 +41,11 @@
 	if !f.runner.Perform(effect) {
 		t.Fatalf("effect %T was not carried out", effect)
 	}
-	return <-f.events
+	in := <-f.events
+	if answered, ok := in.(reducer.StoreAnswered); ok {
+		return answered.Answer
+	}
+	return in
 }
 
 // Guards against a malformed document in the store that ends the process or is reported as an unreachable platform.
@@ -70,14 +75,14 @@
 		t.Fatalf("empty store: %+v", read)
 	}
 	f.store.CompareAndSwap(context.Background(), platform.KeyConfig, 0, []byte(`{"version":1}`))
-	watch := f.perform(t, reducer.WatchStore{After: read.Revision}).(reducer.StoreRead)
+	watch := f.perform(t, reducer.WatchStore{After: storeera.Revision{Number: read.Revision}}).(reducer.StoreRead)
 	if watch.Result != reducer.StoreOK || !watch.Watch || watch.Document.Version != 1 || watch.Revision <= read.Revision {
 		t.Errorf("watch after a change: %+v", watch)
 	}
 	if err := f.server.Inject(standin.Fault{Kind: standin.FaultHistory}); err != nil {
 		t.Fatal(err)
 	}
-	if gone := f.perform(t, reducer.WatchStore{After: read.Revision}).(reducer.StoreRead); gone.Result != reducer.StoreHistoryGone {
+	if gone := f.perform(t, reducer.WatchStore{After: storeera.Revision{Number: read.Revision}}).(reducer.StoreRead); gone.Result != reducer.StoreHistoryGone {
 		t.Errorf("watch without history: %+v", gone)
 	}
 }
@@ -242,13 +247,15 @@
 // Guards against a watch on a connection that failed silently, whose late result ends the watch that took its place.
 func TestNextWatchEndsTheOneBefore(t *testing.T) {
 	f := newFixture(t)
-	f.runner.Perform(reducer.WatchStore{After: 1 << 40})
-	f.runner.Perform(reducer.WatchStore{After: 0})
+	read := f.perform(t, reducer.ReadStore{}).(reducer.StoreRead)
+	f.runner.Perform(reducer.WatchStore{After: storeera.Revision{Number: read.Revision}})
+	f.runner.Perform(reducer.WatchStore{})
 	if _, _, err := f.store.CompareAndSwap(context.Background(), platform.KeyConfig, 0, []byte(`{"version":3}`)); err != nil {
 		t.Fatal(err)
 	}
-	if read, ok := (<-f.events).(reducer.StoreRead); !ok || !read.Watch || read.Result == reducer.StoreUnknown {
-		t.Errorf("the result is %+v, expected that of the second watch", read)
+	in, _ := (<-f.events).(reducer.StoreAnswered)
+	if watched, ok := in.Answer.(reducer.StoreRead); !ok || !watched.Watch || watched.Result != reducer.StoreOK || watched.After != (storeera.Revision{}) {
+		t.Errorf("the result is %+v, expected that of the second watch", in.Answer)
 	}
 	select {
 	case in := <-f.events:
