deregistration: a leave outlives a store that comes back from a copy

The record was in the store alone, and counted as stored for good: the store came back without it, nobody wrote it again, no other node held it, and the next process took a late registration for a new one.

A leave is confirmed once the store has it and another node holds it; after 0.4 s without one of them the other will do, as before. Copies are renewed at nodes that start again, for as long as a registration may be late. A new era makes a node write its leaves again; heartbeats carry the era to nodes that do not call the store, as a hint that outdates nothing. A process that does not know the others yet waits for one, so a unit test begins later.

The status of a node, a metric and two log lines show the era.

--- a/internal/faultmatrix/combined.go
+++ b/internal/faultmatrix/combined.go
@@ -47,6 +47,7 @@
 		{Name: "backend server leaves while the store is down", Begin: leaveInOutage, Length: 8 * time.Second, Sampled: true},
 		{Name: "backend server leaves, two registrations are late", Begin: leaveBeforeTwoLateRegistrations, Length: 8 * time.Second, Sampled: true},
 		{Name: "leases lapse after a backend server has left", Begin: leaveBeforeLeasesLapse, Length: 8 * time.Second, Sampled: true},
+		{Name: "backend server leaves before a drill of the store", Begin: leaveBeforeDrill, Length: 9 * time.Second, Sampled: true},
 		regionsScenario,
 	}
 }
@@ -66,6 +67,17 @@
 	sendAfterLeave(w, 4*time.Second)
 }
 
+// leaveBeforeDrill lets a backend server leave. Then the store comes back from a copy that lacks the leave, the process of its node
+// is killed, and a registration from before the leave arrives.
+func leaveBeforeDrill(w *pump.World) {
+	target, older := w.Node(Target), w.Store.Copy()
+	target.DelayRegistration(4 * time.Second)
+	w.After(time.Second, target.DeregisterBackend)
+	w.After(1500*time.Millisecond, func() { w.Store.Drill(older) })
+	w.After(2300*time.Millisecond, target.RestartProcess)
+	sendAfterLeave(w, 5*time.Second)
+}
+
 // leaveBeforeTwoLateRegistrations lets a backend server leave. Then the process of its node is killed, and two registrations from before the
 // leave arrive, one right after the other.
 func leaveBeforeTwoLateRegistrations(w *pump.World) {
--- a/internal/faultmatrix/rollouts.go
+++ b/internal/faultmatrix/rollouts.go
@@ -41,6 +41,9 @@
 
 // rolloutStepOf returns the step that the event of a node belongs to, or an empty text.
 func rolloutStepOf(w *pump.World, input reducer.Input) string {
+	if answered, ok := input.(reducer.StoreAnswered); ok {
+		input = answered.Answer
+	}
 	switch in := input.(type) {
 	case reducer.RolloutsRead:
 		if len(in.Orders) > 0 {
--- a/operator/nodestatus/status.go
+++ b/operator/nodestatus/status.go
@@ -25,6 +25,8 @@
 	Rejected     Rejected `json:"rejected_versions"`
 	// UnsupportedRoutes are the routes of the active version whose requests the node refuses.
 	UnsupportedRoutes []UnsupportedRoute `json:"unsupported_routes,omitempty"`
+	// StoreEra counts how often the platform's store has come back from an older copy; absent if it does not state it.
+	StoreEra uint64 `json:"store_era,omitempty"`
 	// InvalidEntries are the entries in the platform's store that the node leaves out.
 	InvalidEntries []InvalidEntry `json:"invalid_entries,omitempty"`
 	Backend        Upstream       `json:"backend"`
@@ -121,7 +123,7 @@
 			Older: s.Refusals.Older, Conflicting: s.Refusals.Conflicting, Invalid: s.Refusals.Invalid,
 			Damaged: s.Refusals.Damaged, Malformed: s.Refusals.Malformed,
 		},
-		Backend: newUpstream(s.Backend), Load: newLoad(s.Load), Calls: s.Calls, Records: s.Records,
+		StoreEra: s.StoreEra, Backend: newUpstream(s.Backend), Load: newLoad(s.Load), Calls: s.Calls, Records: s.Records,
 		Members: make([]Member, 0, len(s.Members)),
 	}
 	for _, route := range s.Unsupported {
--- a/reducer/deregistration/deregistration_test.go
+++ b/reducer/deregistration/deregistration_test.go
@@ -60,6 +60,7 @@
 	l.Note(newer, Final, 0)
 	l.HeldBy("p1", older)
 	l.HeldBy("p1", newer)
+	l.Overdue(newer)
 	if l.IsKept(newer, 5) || !l.IsKept(newer, 1) {
 		t.Errorf("held by one node: kept among five %v, among one %v", l.IsKept(newer, 5), l.IsKept(newer, 1))
 	}
@@ -68,6 +69,47 @@
 	}
 }
 
+// Guards against a record that counts as kept while the store alone has it, which may come back from a copy that lacks it, or
+// while only other nodes hold it although the store may still confirm it.
+func TestStoreAndAnotherNodeKeepARecord(t *testing.T) {
+	const peers = 5
+	for name, test := range map[string]struct {
+		stored, overdue bool
+		holders, peers  int
+		want            bool
+	}{
+		"stored":                              {stored: true, peers: peers},
+		"stored, no other node":               {stored: true, want: true},
+		"stored and held":                     {stored: true, holders: 1, peers: peers, want: true},
+		"held by two":                         {holders: 2, peers: peers},
+		"stored, overdue":                     {stored: true, overdue: true, peers: peers, want: true},
+		"held by two, overdue":                {overdue: true, holders: 2, peers: peers, want: true},
+		"held by one, overdue":                {overdue: true, holders: 1, peers: peers},
+		"held by all other nodes, overdue":    {overdue: true, holders: 1, peers: 1, want: true},
+		"neither stored nor held, overdue":    {overdue: true, peers: peers},
+		"neither stored nor held, no overdue": {},
+	} {
+		var l Ledger
+		r := Record{"a", 1}
+		l.Note(r, Final, 0)
+		for i := range test.holders {
+			l.HeldBy(fmt.Sprint("p", i), r)
+		}
+		if test.stored {
+			l.Stored(r)
+		}
+		if test.overdue {
+			l.Overdue(r)
+		}
+		if got := l.IsKept(r, test.peers); got != test.want {
+			t.Errorf("%s: kept %v", name, got)
+		}
+		if l.ForgetStored() != test.stored || l.IsStored(r) || len(l.Unstored(0)) != 1 {
+			t.Errorf("%s: the record is not to be written again after the store has lost it", name)
+		}
+	}
+}
+
 // Guards against records that a node holds for others without bound.
 func TestKeeperIsBounded(t *testing.T) {
 	var k Keeper
--- a/reducer/deregistration/ledger.go
+++ b/reducer/deregistration/ledger.go
@@ -17,8 +17,9 @@
 // Ledger is what the node beside a backend server knows of its deregistrations, and who waits for their
 // acknowledgement. The zero value is ready to use.
 //
-// Invariant: a record is kept if the store has confirmed it, or if wantedHolders other nodes hold it. Only a kept
-// record is acknowledged.
+// Invariant: only a kept record is acknowledged: one that the store has confirmed and another node holds. The store may come
+// back from a copy that lacks it, and the process may end before it knows. Once a record is overdue, the store or
+// wantedHolders other nodes will do.
 type Ledger struct {
 	entries map[string]*entry // by instance
 	waiting map[Exchange]Record
@@ -42,6 +43,7 @@
 	at      int64 // as in Record
 	final   int64 // the newest of these of the kind Final
 	stored  int64 // the newest of these that the store has confirmed
+	overdue int64 // the newest of these that is overdue
 	notedAt time.Duration
 	holders map[string]bool // processes of other nodes that hold it
 }
@@ -98,7 +100,18 @@
 	if e == nil || e.at < r.At {
 		return false
 	}
-	return e.stored >= r.At || len(e.holders) >= max(1, min(peers, wantedHolders))
+	stored, enough := e.stored >= r.At, len(e.holders) >= max(1, min(peers, wantedHolders))
+	if e.overdue >= r.At {
+		return stored || enough
+	}
+	return stored && (peers == 0 || len(e.holders) > 0)
+}
+
+// Overdue notes that either the store or other nodes do not answer in time.
+func (l *Ledger) Overdue(r Record) {
+	if e := l.entries[r.Instance]; e != nil {
+		e.overdue = max(e.overdue, r.At)
+	}
 }
 
 // Stored notes that the store has confirmed a record.
@@ -114,6 +127,21 @@
 	return e != nil && e.stored >= r.At
 }
 
+// ForgetStored notes that the store may have lost all records, and reports whether it had confirmed any.
+func (l *Ledger) ForgetStored() bool {
+	had := false
+	for _, e := range l.entries {
+		had = had || e.stored > 0
+		e.stored = 0
+	}
+	return had
+}
+
+// Recent returns the records younger than MaxDelay, sorted by instance: a registration of before may still arrive.
+func (l *Ledger) Recent(now time.Duration) []Record {
+	return slices.DeleteFunc(l.Records(), func(r Record) bool { return now-l.entries[r.Instance].notedAt > MaxDelay })
+}
+
 // HeldBy notes that another node holds a record. node names its process.
 func (l *Ledger) HeldBy(node string, r Record) {
 	if e := l.entries[r.Instance]; e != nil && r.At >= e.at {
--- a/reducer/deregistrations.go
+++ b/reducer/deregistrations.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// deregistrationStoreTimeout bounds the wait for the store alone. Then other nodes are asked as well to hold a
-	// deregistration.
-	deregistrationStoreTimeout = 400 * time.Millisecond
+	// deregistrationOverdueAfter bounds the wait for both the store and another node to have a deregistration. Then one of
+	// them will do.
+	deregistrationOverdueAfter = 400 * time.Millisecond
 	// deregistrationAckTimeout bounds the wait for the acknowledgement. Backend servers wait 1 s for it.
 	deregistrationAckTimeout = 800 * time.Millisecond
 	// deregistrationRetryInterval is the pause after which deregistrations that are not stored are written again. In a long
@@ -22,6 +22,9 @@
 const (
 	// askedHolders is how many nodes are asked to hold a deregistration: one more than have to.
 	askedHolders = 3
+	// copyRenewalInterval is how often a node looks whether other nodes hold its recent deregistrations. A process that has just
+	// started does not know the others yet.
+	copyRenewalInterval = 100 * time.Millisecond
 	// sweepInterval is the mean time between two listings of the records in the store, by the first reader of a zone.
 	sweepInterval = 10 * time.Minute
 	// storedRetention is how long the store keeps a record: as long as other nodes, and a minute more for clocks that
@@ -78,20 +81,22 @@
 }
 
 // keepDeregistration acknowledges a deregistration once it is kept outside this process, which may end before the
-// backend server does: by the platform's store or, if that does not answer in time, by other nodes.
+// backend server does: by the platform's store and by another node, which holds it for as long as a registration of before
+// may be on its way, or by one of them if the other does not answer in time.
 func (s *State) keepDeregistration(exchange Handle, d deregistration.Record) {
 	r := &s.registration
-	if !s.cfg.Discover || r.ledger.IsKept(d, s.members.livePeers) {
+	if !s.cfg.Discover || r.ledger.IsKept(d, s.possibleHolders()) {
 		s.acknowledge(exchange)
 		return
 	}
 	r.ledger.Note(d, deregistration.Draining, s.now)
 	if exchange != 0 {
 		r.ledger.Await(deregistration.Exchange(exchange), d)
-		s.timers.set(timerKey{kind: timerDeregistrationHolders, call: exchange}, s.now+deregistrationStoreTimeout)
+		s.timers.set(timerKey{kind: timerDeregistrationOverdue, call: exchange}, s.now+deregistrationOverdueAfter)
 		s.timers.set(timerKey{kind: timerDeregistrationAck, call: exchange}, s.now+deregistrationAckTimeout)
 	}
 	s.emit(StoreDeregistration{Exchange: exchange, Instance: d.Instance, At: d.At, LeftAt: s.wallClockMillis()})
+	s.renewCopies()
 }
 
 // handleDeregistrationStored acknowledges a deregistration that is stored. One that is not is written again, and
@@ -105,7 +110,7 @@
 	}
 	s.log(LevelWarn, "leave of the backend server is not stored", Field{"instance", in.Instance}, Field{"born", in.At}, Field{"result", in.Result.String()})
 	s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now+deregistrationRetryPause(r.ledger.UnstoredFor(s.now)))
-	s.askToHold(in.Exchange)
+	s.noteOverdue(in.Exchange)
 }
 
 // deregistrationRetryPause returns the pause before the next attempt to store a deregistration that has not been stored
@@ -120,13 +125,36 @@
 	ledger := &s.registration.ledger
 	for _, d := range ledger.Unstored(s.now) {
 		s.emit(StoreDeregistration{Instance: d.Instance, At: d.At, LeftAt: s.wallClockMillis()})
-		if !ledger.IsHeld(d) {
-			continue
+		if ledger.IsHeld(d) {
+			s.sendToHolders(d)
 		}
-		for _, node := range s.holders(askedHolders) {
-			if to := s.members.table[NodeID(node)].Ref(); !ledger.IsHeldBy(holderKey(to), d) {
-				s.emit(Send{To: to, Message: HoldDeregistrations{Records: []deregistration.Record{d}}})
-			}
+	}
+}
+
+// restoreDeregistrations writes deregistrations again that the store may have lost.
+func (s *State) restoreDeregistrations() {
+	if s.registration.ledger.ForgetStored() {
+		s.timers.set(timerKey{kind: timerDeregistrationRetry}, s.now+s.jitter(deregistrationRetryInterval))
+	}
+}
+
+// renewCopies asks other nodes to hold recent deregistrations, also those that have taken the place of holders that have gone
+// or started again.
+func (s *State) renewCopies() {
+	recent := s.registration.ledger.Recent(s.now)
+	for _, d := range recent {
+		s.sendToHolders(d)
+	}
+	if len(recent) > 0 {
+		s.timers.set(timerKey{kind: timerDeregistrationCopies}, s.now+copyRenewalInterval)
+	}
+}
+
+// sendToHolders asks other nodes to hold a deregistration, except those that have said that they do.
+func (s *State) sendToHolders(d deregistration.Record) {
+	for _, node := range s.holders(askedHolders) {
+		if to := s.members.table[NodeID(node)].Ref(); !s.registration.ledger.IsHeldBy(holderKey(to), d) {
+			s.emit(Send{To: to, Message: HoldDeregistrations{Records: []deregistration.Record{d}}})
 		}
 	}
 }
@@ -134,15 +162,23 @@
 // holderKey names the process of a node, which holds records in its memory.
 func holderKey(node PeerRef) string { return fmt.Sprintf("%s-%x", node.Node, uint64(node.Incarnation)) }
 
-// askToHold asks other nodes to hold a deregistration that an exchange waits for.
-func (s *State) askToHold(exchange Handle) {
-	d, waiting := s.registration.ledger.Waiting(deregistration.Exchange(exchange))
-	if !waiting {
-		return
+// noteOverdue acknowledges a deregistration that an exchange waits for if the store has it or enough other nodes hold it, and
+// asks other nodes again to hold it.
+func (s *State) noteOverdue(exchange Handle) {
+	if d, waiting := s.registration.ledger.Waiting(deregistration.Exchange(exchange)); waiting {
+		s.registration.ledger.Overdue(d)
+		s.sendToHolders(d)
+		s.acknowledgeKept()
 	}
-	for _, node := range s.holders(askedHolders) {
-		s.emit(Send{To: s.members.table[NodeID(node)].Ref(), Message: HoldDeregistrations{Records: []deregistration.Record{d}}})
+}
+
+// possibleHolders returns the number of other nodes that could hold a deregistration. A process that has just started does not
+// know them yet.
+func (s *State) possibleHolders() int {
+	if !s.hasJoined() {
+		return 1
 	}
+	return s.members.livePeers
 }
 
 // holders returns n nodes that hold the deregistrations of this one.
@@ -182,7 +218,7 @@
 // acknowledgeKept acknowledges the deregistrations that are kept by now.
 func (s *State) acknowledgeKept() {
 	r := &s.registration
-	for _, kept := range r.ledger.TakeKept(s.members.livePeers) {
+	for _, kept := range r.ledger.TakeKept(s.possibleHolders()) {
 		s.cancelDeregistrationTimers(Handle(kept.Exchange))
 		s.log(LevelInfo, "leave of the backend server is confirmed", Field{"instance", kept.Record.Instance}, Field{"born", kept.Record.At}, Field{"stored", r.ledger.IsStored(kept.Record)})
 		s.acknowledge(Handle(kept.Exchange))
@@ -204,7 +240,7 @@
 }
 
 func (s *State) cancelDeregistrationTimers(exchange Handle) {
-	s.timers.cancel(timerKey{kind: timerDeregistrationHolders, call: exchange})
+	s.timers.cancel(timerKey{kind: timerDeregistrationOverdue, call: exchange})
 	s.timers.cancel(timerKey{kind: timerDeregistrationAck, call: exchange})
 }
 
@@ -219,6 +255,9 @@
 // handleDeregistrationsListed removes the records that no registration which is still on its way can concern.
 func (s *State) handleDeregistrationsListed(in DeregistrationsListed) {
 	s.noteStoreAnswer(in.Result != StoreUnknown)
+	if in.Result != StoreOK {
+		return
+	}
 	var old []StoredDeregistration
 	for _, r := range in.Records {
 		if s.wallClockMillis()-r.LeftAt > storedRetention.Milliseconds() && len(old) < removalsPerSweep {
--- a/reducer/deregistrations_test.go
+++ b/reducer/deregistrations_test.go
@@ -34,6 +34,7 @@
 	if _, ok := findEffect[AcknowledgeBackend](d); !ok {
 		t.Error("a registration is not acknowledged at once")
 	}
+	d.now = joinTimeout // the process knows by then that there is no other node to hold the deregistration
 	d.reduce(BackendDeregistered{Instance: "a", Born: born, Exchange: 8})
 	if _, ok := findEffect[AcknowledgeBackend](d); ok {
 		t.Error("a deregistration is acknowledged before it is stored")
@@ -49,6 +50,42 @@
 	}
 }
 
+// Guards against a deregistration that a process confirms on the word of the store alone before it knows the other nodes: the
+// store may come back from a copy that lacks it, and the next process then finds it nowhere.
+func TestProcessThatHasJustStartedWaitsForAHolder(t *testing.T) {
+	const born = processStart + 1
+	for name, hold := range map[string]bool{"another node holds it": true, "no other node is found": false} {
+		d := newTestRegistrar(t)
+		d.register("a", born, 1, false)
+		d.now = 5 * time.Millisecond
+		d.reduce(BackendDeregistered{Instance: "a", Born: born, Exchange: 8})
+		d.reduce(DeregistrationStored{Exchange: 8, Instance: "a", At: born, Result: StoreOK})
+		if _, early := findEffect[AcknowledgeBackend](d); early {
+			t.Errorf("%s: confirmed on the word of the store", name)
+		}
+		want := deregistrationOverdueAfter
+		if hold {
+			peers := d.addPeers("p1", "p2", "p3")
+			d.now += copyRenewalInterval
+			d.reduce(TimerDue{})
+			for node, hold := range sentMessages[HoldDeregistrations](d) {
+				d.reduce(PeerMessage{From: peers[node], Message: DeregistrationsHeld(hold)})
+				want = 0
+				break
+			}
+		}
+		d.now += want
+		d.reduce(TimerDue{})
+		if hold == (want > 0) {
+			t.Errorf("%s: other nodes were asked: %v", name, want == 0)
+		}
+		d.reduce(BackendDeregistered{Instance: "a", Born: born, Exchange: 9})
+		if ack, _ := findEffect[AcknowledgeBackend](d); ack != (AcknowledgeBackend{Exchange: 9}) {
+			t.Errorf("%s: a repetition is answered with %+v", name, ack)
+		}
+	}
+}
+
 // Guards against a deregistration that is acknowledged although it is kept nowhere but in this process (review/10):
 // after a restart of the process a late registration put the backend server into use again.
 func TestDeregistrationThatIsKeptNowhereIsRefused(t *testing.T) {
--- a/reducer/inquiry.go
+++ b/reducer/inquiry.go
@@ -84,6 +84,7 @@
 		d := deregistration.Record{Instance: in.Instance, At: in.At}
 		s.applyDeregistration(d)
 		r.ledger.Stored(d)
+		s.renewCopies()
 	case StoreAbsent:
 	default:
 		if awaited {
--- a/reducer/leave_property_test.go
+++ b/reducer/leave_property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sort"
 	"testing"
 	"time"
@@ -16,6 +17,10 @@
 	leaveHeartbeat = time.Second
 	// longestDelay is how long a registration is on its way at most.
 	longestDelay = 5 * time.Second
+	// oldestCopy is the age of the oldest copy that the store comes back from.
+	oldestCopy = 5 * time.Second
+	// leaveSpread is the time within which a node that has started is told of a leave, and the store of one that it lost.
+	leaveSpread = 1500 * time.Millisecond
 )
 
 // leaveWorld is a node beside a backend server, with a store and three other nodes that answer as the platform and
@@ -32,6 +37,10 @@
 
 	store     map[string]int64
 	storeDown bool
+	era       uint64
+	copied    map[string]int64 // of the store; nil if there is none, or it was used
+	copiedAt  time.Duration
+	backAt    time.Duration // when the store was last back from a copy
 	keepers   []*deregistration.Keeper
 	restarts  [3]int // of the other nodes
 
@@ -53,7 +62,7 @@
 }
 
 func newLeaveWorld(t *rapid.T) *leaveWorld {
-	w := &leaveWorld{t: t, store: map[string]int64{}, confirmed: map[backendIncarnation]bool{}}
+	w := &leaveWorld{t: t, store: map[string]int64{}, era: 1, confirmed: map[backendIncarnation]bool{}}
 	for range 3 {
 		w.keepers = append(w.keepers, &deregistration.Keeper{})
 	}
@@ -135,7 +144,7 @@
 	switch e := effect.(type) {
 	case StoreDeregistration:
 		stored := DeregistrationStored{Exchange: e.Exchange, Instance: e.Instance, At: e.At}
-		w.call(func(ok bool) Input {
+		w.call(func(ok bool) StoreAnswer {
 			stored.Result = StoreUnknown
 			if ok {
 				stored.Result = StoreOK
@@ -144,7 +153,7 @@
 			return stored
 		})
 	case ReadDeregistration:
-		w.call(func(ok bool) Input {
+		w.call(func(ok bool) StoreAnswer {
 			at, found := w.store[e.Instance]
 			switch {
 			case !ok:
@@ -177,13 +186,31 @@
 	}
 }
 
-// call carries out a call to the store. While that is down there is no answer for a second.
-func (w *leaveWorld) call(answer func(ok bool) Input) {
+// call carries out a call to the store. While that is down there is no answer for a second. An answer may be late, so that it
+// comes after the end of its era.
+func (w *leaveWorld) call(answer func(ok bool) StoreAnswer) {
 	if w.storeDown {
 		w.after(time.Second, w.process, func() { w.reduce(answer(false)) })
 		return
 	}
-	w.after(2*time.Millisecond, w.process, func() { w.reduce(answer(!w.storeDown)) })
+	w.after(2*time.Millisecond, 0, func() {
+		if w.storeDown {
+			w.after(0, w.process, func() { w.reduce(answer(false)) })
+			return
+		}
+		delay := max(0, rapid.IntRange(-9, 2).Draw(w.t, "late")) * 300
+		answered := StoreAnswered{Era: w.era, Answer: answer(true)}
+		w.after(time.Duration(delay)*time.Millisecond, w.process, func() { w.reduce(answered) })
+	})
+}
+
+// drill takes the store away for a moment and brings it back from the copy.
+func (w *leaveWorld) drill() {
+	w.note("drill: the store loses %d of %d records", len(w.store)-len(w.copied), len(w.store))
+	w.storeDown = true
+	w.run(time.Duration(rapid.IntRange(200, 600).Draw(w.t, "away")) * time.Millisecond)
+	w.store, w.copied, w.storeDown, w.backAt = w.copied, nil, false, w.now
+	w.era++
 }
 
 func (w *leaveWorld) beginLife() {
@@ -233,8 +260,8 @@
 }
 
 // Guards against any order of registrations, late ones, leaves of both kinds, restarts of the process, outages of the
-// store, restarts of other nodes and further lives of an instance after which a backend server whose leave was
-// confirmed is in use (review/7, 9 and 10), or one that has not left is not.
+// store, copies that it comes back from, restarts of other nodes and further lives of an instance after which a backend
+// server whose leave was confirmed is in use (review/7, 9, 10 and 13), or one that has not left is not.
 func TestConfirmedLeaveHolds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		for range 5 {
@@ -248,7 +275,7 @@
 	w := newLeaveWorld(t)
 	w.run(2 * time.Second)
 	for range rapid.IntRange(1, 25).Draw(t, "steps") {
-		switch rapid.IntRange(0, 8).Draw(t, "step") {
+		switch rapid.IntRange(0, 10).Draw(t, "step") {
 		case 0, 1:
 			w.startProcess()
 		case 2:
@@ -264,12 +291,19 @@
 			w.keepers[node] = &deregistration.Keeper{}
 			w.restarts[node]++
 			w.note("node p%d starts again", node)
-			if w.storeDown { // only nodes know the leave, which one that has started is told within a second and a half
-				w.run(1500 * time.Millisecond)
+			if w.storeDown || w.copied != nil || w.now < w.backAt+leaveSpread { // perhaps only nodes know the leave
+				w.run(leaveSpread)
 			}
 		case 6:
 			w.run(time.Second)
 			w.beginLife()
+		case 7:
+			w.copied, w.copiedAt = maps.Clone(w.store), w.now
+			w.note("the store is copied")
+		case 8:
+			if w.copied != nil && w.now-w.copiedAt <= oldestCopy {
+				w.drill()
+			}
 		default:
 			w.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
 		}
--- a/reducer/members_detector.go
+++ b/reducer/members_detector.go
@@ -127,7 +127,7 @@
 
 func (s *State) heartbeat(reply bool) Heartbeat {
 	return Heartbeat{
-		Version: s.config.active.ID(), TableDigest: s.members.digest(), Zones: s.zonesHeard(), Reply: reply,
+		Version: s.config.active.ID(), TableDigest: s.members.digest(), Zones: s.zonesHeard(), StoreEra: s.storeEra.Current(), Reply: reply,
 	}
 }
 
@@ -149,6 +149,7 @@
 // heartbeat.
 func (s *State) handleHeartbeat(from PeerRef, in Heartbeat) {
 	s.fetchIfNewer(from, in.Version)
+	s.hearStoreEra(from, in.StoreEra)
 	for _, zone := range in.Zones {
 		name, known := s.members.detector.zoneByTag[zone.Zone]
 		if known && name != s.cfg.Zone {
--- a/reducer/message.go
+++ b/reducer/message.go
@@ -86,7 +86,8 @@
 	Version     tables.VersionID
 	TableDigest uint64 // digest of the member table
 	Zones       []ZoneHeard
-	Reply       bool // answers a heartbeat
+	StoreEra    uint64 // of the platform's store, as far as the sender knows
+	Reply       bool   // answers a heartbeat
 }
 
 // ZoneTag identifies a zone in heartbeats: the low bits of a hash of its name.
--- a/reducer/state.go
+++ b/reducer/state.go
@@ -268,12 +268,14 @@
 		s.readStore()
 	case timerStoreWatch:
 		s.watchStore()
-	case timerDeregistrationHolders:
-		s.askToHold(key.call)
+	case timerDeregistrationOverdue:
+		s.noteOverdue(key.call)
 	case timerDeregistrationAck:
 		s.refuseDeregistration(key.call)
 	case timerDeregistrationRetry:
 		s.retryDeregistrations()
+	case timerDeregistrationCopies:
+		s.renewCopies()
 	case timerDeregistrationInquiry:
 		s.advanceInquiry()
 	case timerDeregistrationSweep:
--- a/reducer/status.go
+++ b/reducer/status.go
@@ -17,6 +17,7 @@
 	Refusals   ConfigRefusals
 	// Unsupported holds the routes of the active version whose requests are refused. It must not be modified.
 	Unsupported []tables.Route
+	StoreEra    uint64 // of the platform's store; 0 if it states none
 	// InvalidEntries are the entries in the store that are left out.
 	InvalidEntries []InvalidEntry
 	Members        []Member
@@ -36,6 +37,7 @@
 		Leaving: s.shutdown.phase != phaseServing,
 		Version: s.config.active.ID(), VersionAge: s.now - s.config.activeSince,
 		Refusals: s.config.refusals, Unsupported: s.config.active.UnsupportedRoutes(),
+		StoreEra:       s.storeEra.Current(),
 		InvalidEntries: s.platform.invalidEntries,
 		Members:        append([]Member(nil), s.members.sorted()...),
 		Backend:        s.members.table[s.cfg.Self].Upstream,
--- a/reducer/store_era.go
+++ b/reducer/store_era.go
@@ -42,4 +42,14 @@
 	s.log(LevelWarn, "platform store came back from a copy", Field{"era", s.storeEra.Current()}, Field{"era_before", before},
 		Field{"active", s.config.active.ID().Number}, Field{"watched_after", s.config.reader.revision.Number})
 	s.restartReader()
+	s.restoreDeregistrations()
+}
+
+// hearStoreEra notes the era that another node states. Most nodes do not call the store, and learn of a new era only so. What
+// this node has stored is then written again; the answers of the store confirm the era.
+func (s *State) hearStoreEra(from PeerRef, era uint64) {
+	if s.storeEra.Hear(era) {
+		s.log(LevelInfo, "platform store is said to have come back from a copy", Field{"era", era}, Field{"era_before", s.storeEra.Current()}, Field{"from", from.Node})
+		s.restoreDeregistrations()
+	}
 }
--- a/reducer/timer.go
+++ b/reducer/timer.go
@@ -23,9 +23,10 @@
 	timerReaderCheck
 	timerSubstitute
 	timerSubstituteRole
-	timerDeregistrationHolders
+	timerDeregistrationOverdue
 	timerDeregistrationAck
 	timerDeregistrationRetry
+	timerDeregistrationCopies
 	timerDeregistrationInquiry
 	timerDeregistrationSweep
 	timerAnnounceNode
--- a/runner/peer/wire_control.go
+++ b/runner/peer/wire_control.go
@@ -39,6 +39,7 @@
 	Version Version
 	Members uint64   // digest of the sender's member table
 	Zones   []uint32 // per zone: its tag in the upper 24 bits, its age in units of zoneAgeUnit in the lower 8
+	Era     uint64   // of the platform's store; 0 from a node of an earlier release
 	Reply   bool     // answers a heartbeat
 }
 
@@ -46,7 +47,7 @@
 const zoneAgeUnit = 16 * time.Millisecond
 
 func wireHeartbeat(m reducer.Heartbeat) *Heartbeat {
-	out := &Heartbeat{Version: wireVersion(m.Version), Members: m.TableDigest, Reply: m.Reply}
+	out := &Heartbeat{Version: wireVersion(m.Version), Members: m.TableDigest, Era: m.StoreEra, Reply: m.Reply}
 	for _, zone := range m.Zones {
 		age := min((zone.Age+zoneAgeUnit-1)/zoneAgeUnit, 0xff)
 		out.Zones = append(out.Zones, uint32(zone.Zone)<<8|uint32(age))
@@ -55,7 +56,7 @@
 }
 
 func (h *Heartbeat) toMessage() reducer.Heartbeat {
-	out := reducer.Heartbeat{Version: h.Version.toID(), TableDigest: h.Members, Reply: h.Reply}
+	out := reducer.Heartbeat{Version: h.Version.toID(), TableDigest: h.Members, StoreEra: h.Era, Reply: h.Reply}
 	for _, zone := range h.Zones {
 		age := time.Duration(zone&0xff) * zoneAgeUnit
 		out.Zones = append(out.Zones, reducer.ZoneHeard{Zone: reducer.ZoneTag(zone >> 8), Age: age})
--- a/runner/telemetry/metrics.go
+++ b/runner/telemetry/metrics.go
@@ -27,6 +27,7 @@
 	familyAge          = "rosemaryhatch_config_age_seconds"
 	familyRejected     = "rosemaryhatch_config_rejected"
 	familyUnsupported  = "rosemaryhatch_config_unsupported_routes"
+	familyStoreEra     = "rosemaryhatch_platform_era"
 	familyInvalid      = "rosemaryhatch_platform_invalid_entries"
 	familyMembers      = "rosemaryhatch_members"
 	familyPeerBytes    = "rosemaryhatch_peer_bytes_total"
@@ -273,6 +274,7 @@
 	m.gauge(familyLimit).Update(int64(status.Capacity.Limit))
 	m.gauge(familyResets).Update(int64(status.Capacity.Resets))
 	m.gauge(familyHung).Update(int64(status.Capacity.Hangs))
+	m.gauge(familyStoreEra).Update(int64(status.StoreEra))
 	m.gauge(familyInvalid).Update(int64(len(status.InvalidEntries)))
 	m.gauge(familyUnsupported).Update(int64(len(status.Unsupported)))
 	m.gauge("%s{kind=%q}", familyRejected, "older").Update(int64(status.Refusals.Older))
