discovery: leases of an earlier era of the store are given up

A lease that was granted after the copy is gone when the store comes back, and its number is given out again. A node that renewed its old number kept the lease of another node alive in place of its own, and its entry was missing for good; a node that ended could end the lease of another one. Found by the first test of this path, with a copy of before all entries: the entry of one of four nodes was missing for the 15 s of the test, after one drill and after two.

A new era drops the lease, the next step takes a new one and writes the entry, and the late result of a step under another lease counts as one without a lease.

--- a/internal/pump/restore_test.go
+++ b/internal/pump/restore_test.go
@@ -63,3 +63,45 @@
 		t.Errorf("%d calls in 10 s after the drill, expected at most %d", calls, most)
 	}
 }
+
+// Guards against a node that goes on with a lease of before a drill, whose number the store has given to another holder: its entry
+// is missing for good, or disappears with the other one, and a node that starts finds fewer others.
+func TestEntriesAreBackAfterADrill(t *testing.T) {
+	for _, beforeEntries := range []bool{false, true} { // whether the copy was made before the nodes started, or later
+		for drills := 1; drills <= 2; drills++ {
+			w := New(2)
+			w.Store.Apply(readersRoutes, readersPools)
+			older := w.Store.Copy()
+			for _, id := range []reducer.NodeID{"larvik-1", "larvik-2", "horten-1", "horten-2"} {
+				w.AddNode(id, string(id[:6]), "desk")
+				w.Run(w.Now + 700*time.Millisecond)
+			}
+			w.Run(w.Now + 20*time.Second)
+			if !beforeEntries {
+				older = w.Store.Copy()
+				w.Run(w.Now + 3*time.Second)
+			}
+			for range drills {
+				w.Store.Drill(older)
+				w.Run(w.Now + drillOutage + 300*time.Millisecond)
+			}
+			w.Run(w.Now + 2*time.Second)
+			missing := map[reducer.NodeID]bool{}
+			for check := 0; check < 30; check++ {
+				entries := map[reducer.NodeID]bool{}
+				for _, e := range w.Store.list().(reducer.NodesListed).Nodes {
+					entries[e.Node] = true
+				}
+				for _, n := range w.Nodes() {
+					missing[n.ID] = missing[n.ID] || !entries[n.ID]
+				}
+				w.Run(w.Now + 500*time.Millisecond)
+			}
+			for id, gone := range missing {
+				if gone {
+					t.Errorf("copy of before the entries: %v, %d drills: the entry of %s is missing within 15 s, 2 s after the store was back", beforeEntries, drills, id)
+				}
+			}
+		}
+	}
+}
--- a/reducer/discovery.go
+++ b/reducer/discovery.go
@@ -145,12 +145,32 @@
 }
 
 func (s *State) handleNodeAnnounced(in NodeAnnounced) {
-	s.platform.announced = in.Result == StoreOK
-	s.endAnnounceStep(in.Result, leaseRenewInterval)
+	result := s.resultFor(in.Lease, in.Result)
+	s.platform.announced = result == StoreOK
+	s.endAnnounceStep(result, leaseRenewInterval)
+}
+
+// resultFor returns the result of a step under a lease. The lease that it succeeded with may be one of an earlier era, whose
+// number the store has given to another holder since.
+func (s *State) resultFor(lease uint64, result StoreResult) StoreResult {
+	if result == StoreOK && lease != s.platform.lease {
+		return StoreNoLease
+	}
+	return result
+}
+
+// forgetNodeLease gives up a lease of an earlier era, whose number may belong to another holder now. The next step takes a new
+// one, under which the entry is written again.
+func (s *State) forgetNodeLease() {
+	if s.platform.lease != 0 {
+		s.platform.lease, s.platform.announced = 0, false
+		s.timers.set(timerKey{kind: timerAnnounceNode}, s.now)
+	}
 }
 
 // handleLeaseRenewed also writes the entry again if it names another number of members.
 func (s *State) handleLeaseRenewed(in LeaseRenewed) {
+	in.Result = s.resultFor(in.Lease, in.Result)
 	next := leaseRenewInterval
 	if in.Result == StoreOK && s.platform.members != s.announcedMembers() {
 		s.platform.announced, next = false, 0
--- a/reducer/store_era.go
+++ b/reducer/store_era.go
@@ -42,6 +42,7 @@
 	s.log(LevelWarn, "platform store came back from a copy", Field{"era", s.storeEra.Current()}, Field{"era_before", before},
 		Field{"active", s.config.active.ID().Number}, Field{"watched_after", s.config.reader.revision.Number})
 	s.restartReader()
+	s.forgetNodeLease()
 	s.restoreDeregistrations()
 }
 
