ingress: a stream that breaks off is reset for callers of HTTP/1.0

A streaming response without a length goes to a caller of HTTP/1.0 without chunks, and the end of the connection ends it. When the response broke off, the connection was closed in order, and the caller took the part for the whole. The connection is reset now; with chunks or a length nothing changes.

--- a/runner/ingress/http.go
+++ b/runner/ingress/http.go
@@ -155,8 +155,8 @@
 	}
 }
 
-// writeRest passes on the rest of a body. If the body breaks off, the connection is closed before the response looks
-// complete: its length, or the end of its last chunk, is missing.
+// writeRest passes on the rest of a body. If the body breaks off, the connection ends before the response looks complete: its
+// length, or the end of its last chunk, is missing, or the connection is reset.
 func (s *Server) writeRest(w http.ResponseWriter, r *http.Request, rest traffic.BodyStream) {
 	defer rest.Close()
 	for {
@@ -171,9 +171,20 @@
 			panic(http.ErrAbortHandler) // the caller has disconnected
 		case err != nil:
 			s.OnRefused(reasonBrokenOff)
-			panic(http.ErrAbortHandler)
+			breakOff(r)
 		}
 	}
 }
 
+// breakOff ends the connection of a response that broke off, and does not return. To a caller that takes no chunks, an orderly
+// close would be the end of the body: its connection is reset.
+func breakOff(r *http.Request) {
+	if conn, ok := r.Context().Value(connKey{}).(*callerConn); ok && !r.ProtoAtLeast(1, 1) {
+		if socket, ok := conn.Conn.(*net.TCPConn); ok {
+			_ = socket.SetLinger(0) // fails only if the connection has ended
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func isHopByHop(name string) bool { return slices.Contains(hopByHopHeaders, name) }
--- a/runner/ingress/stream_test.go
+++ b/runner/ingress/stream_test.go
@@ -67,13 +67,16 @@
 		length   int64
 		err      error
 		complete bool
+		request  string
 	}{
-		{-1, io.EOF, true}, {1 + parts*traffic.PartBytes, io.EOF, true}, {-1, errors.New("reset"), false},
-		{2 + parts*traffic.PartBytes, errors.New("reset"), false}, {2 + parts*traffic.PartBytes, io.EOF, false},
+		{-1, io.EOF, true, get("/a")}, {1 + parts*traffic.PartBytes, io.EOF, true, get("/a")}, {-1, errors.New("reset"), false, get("/a")},
+		{2 + parts*traffic.PartBytes, errors.New("reset"), false, get("/a")}, {2 + parts*traffic.PartBytes, io.EOF, false, get("/a")},
+		{-1, io.EOF, true, getWithoutChunks}, {-1, errors.New("reset"), false, getWithoutChunks},
+		{2 + parts*traffic.PartBytes, errors.New("reset"), false, getWithoutChunks},
 	} {
-		t.Run(fmt.Sprint(c.length, c.err), func(t *testing.T) {
+		t.Run(fmt.Sprintf("%d %v %.20q", c.length, c.err, c.request), func(t *testing.T) {
 			stream := &partStream{parts: parts, err: c.err, closed: make(chan struct{})}
-			conn := serveStream(t, &streamBackend{stream, c.length})
+			conn := serveStream(t, &streamBackend{stream, c.length}, c.request)
 			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			if err != nil {
 				t.Fatal(err)
@@ -86,7 +89,7 @@
 		})
 	}
 	stream := &partStream{parts: 1, closed: make(chan struct{})}
-	conn := serveStream(t, &streamBackend{stream, -1})
+	conn := serveStream(t, &streamBackend{stream, -1}, get("/a"))
 	conn.Read(make([]byte, 1))
 	conn.Close()
 	select {
@@ -96,8 +99,11 @@
 	}
 }
 
+// getWithoutChunks is a request of HTTP/1.0, whose response ends with its connection unless it has a length.
+const getWithoutChunks = "GET /a HTTP/1.0\r\nHost: h\r\n\r\n"
+
 // serveStream starts a server with a backend, sends it a request and returns the connection.
-func serveStream(t *testing.T, backend *streamBackend) net.Conn {
+func serveStream(t *testing.T, backend *streamBackend, request string) net.Conn {
 	t.Helper()
 	listener, err := Listen("127.0.0.1:0")
 	if err != nil {
@@ -117,7 +123,7 @@
 		conn.Close()
 		server.Close()
 	})
-	io.WriteString(conn, get("/a"))
+	io.WriteString(conn, request)
 	conn.SetReadDeadline(time.Now().Add(testTimeout))
 	return conn
 }
