--- a/runner/peer/stream_test.go
+++ b/runner/peer/stream_test.go
@@ -5,10 +5,13 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 	"github.com/rosemaryhatch/rosemaryhatch/runner/traffic"
 )
@@ -171,3 +174,39 @@
 		}
 	}
 }
+
+// Guards against a response that looks complete because the process that passes it on has ended, or because another process has
+// taken its address: with a length and without, after the first part and after a later one.
+func TestStreamOfAProcessThatEndsIsNotComplete(t *testing.T) {
+	for _, takenOver := range []bool{false, true} {
+		for _, parts := range []int{0, 1} { // read before the process ends
+			stream := &testStream{parts: [][]byte{pattern(traffic.PartBytes), pattern(traffic.PartBytes), pattern(10)}, err: io.EOF, closed: make(chan struct{})}
+			f := startPair(t, identity("client"), identity("target"), &streamHandler{body: pattern(traffic.MaxWholeBodyBytes + 1), stream: stream})
+			_, response := forwardLong(f, time.Minute)
+			if response == nil || response.Rest == nil {
+				t.Fatal("the response is not streaming")
+			}
+			for range parts {
+				if _, err := response.Rest.Next(context.Background()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			f.server.Close()
+			if takenOver {
+				listener, err := net.Listen("tcp", f.to.Address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				next := NewServer(identity("target"), listener, &streamHandler{}, log.NewNopLogger(), f.metrics)
+				go next.Serve()
+				defer next.Close()
+			}
+			for range 3 { // also when it is asked again
+				if part, err := response.Rest.Next(context.Background()); err == nil || err == io.EOF {
+					t.Errorf("taken over %v, after %d parts: %d bytes, %v", takenOver, parts, len(part), err)
+				}
+			}
+			response.Discard()
+		}
+	}
+}
