heartbeats pass on the latest era that a node has heard of

A node without calls to the store learned of a new era only from a reader that it is linked with: in a mesh of 24 nodes the leave of a node farther away stayed lost after a drill. Heartbeats carry the latest era that the sender has seen or heard of.

Evidence: TestLeaveOfANodeThatDoesNotReadIsWrittenAgain failed before (the leave was not stored again 4 s after the store was back, in both of two drills) and passes now.

--- a/internal/pump/restore_test.go
+++ b/internal/pump/restore_test.go
@@ -105,3 +105,48 @@
 		}
 	}
 }
+
+// Guards against a leave that stays lost because its node does not call the store and so does not see the new era: it hears of it
+// from the others, and writes its leave again.
+func TestLeaveOfANodeThatDoesNotReadIsWrittenAgain(t *testing.T) {
+	w, _, others := newReadersWorld(3)
+	n := others[len(others)-1]
+	older := w.Store.Copy()
+	n.DeregisterBackend()
+	w.Run(w.Now + time.Second)
+	if len(w.Store.left) != 1 {
+		t.Fatalf("%d leaves are stored, expected one", len(w.Store.left))
+	}
+	for range 2 {
+		w.Store.Drill(older)
+		w.Run(w.Now + drillOutage)
+		if len(w.Store.left) != 0 {
+			t.Fatal("the copy has the leave")
+		}
+		w.Run(w.Now + 4*time.Second) // until the readers call, a heartbeat tells their zone, and the write is due
+		if len(w.Store.left) != 1 {
+			t.Error("the leave is not stored again 4 s after the store was back")
+		}
+	}
+}
+
+// Guards against a drill after which the calls of a large mesh exceed the rates of the store: only readers call it, and each a few
+// times.
+func TestCallsOfALargeMeshAfterADrill(t *testing.T) {
+	w, readers, _ := newReadersWorld(4)
+	older := w.Store.Copy()
+	for range 20 {
+		w.Store.Apply(readersRoutes, readersNext)
+	}
+	w.Run(w.Now + time.Second)
+	w.Store.Drill(older)
+	w.Run(w.Now + drillOutage)
+	before := w.Store.Calls
+	w.Run(w.Now + 2*time.Second)
+	if calls, most := w.Store.Calls-before, 10*len(readers); calls > most {
+		t.Errorf("%d calls of %d readers in the 2 s after the drill, expected at most %d", calls, len(readers), most)
+	}
+	if behind := versionsBehind(w); len(behind) > 0 {
+		t.Errorf("the version that was written again is not active at %v", behind)
+	}
+}
--- a/reducer/members_detector.go
+++ b/reducer/members_detector.go
@@ -127,7 +127,7 @@
 
 func (s *State) heartbeat(reply bool) Heartbeat {
 	return Heartbeat{
-		Version: s.config.active.ID(), TableDigest: s.members.digest(), Zones: s.zonesHeard(), StoreEra: s.storeEra.Current(), Reply: reply,
+		Version: s.config.active.ID(), TableDigest: s.members.digest(), Zones: s.zonesHeard(), StoreEra: s.storeEra.Latest(), Reply: reply,
 	}
 }
 
--- a/reducer/message.go
+++ b/reducer/message.go
@@ -86,7 +86,7 @@
 	Version     tables.VersionID
 	TableDigest uint64 // digest of the member table
 	Zones       []ZoneHeard
-	StoreEra    uint64 // of the platform's store, as far as the sender knows
+	StoreEra    uint64 // of the platform's store, the latest that the sender has seen or heard of
 	Reply       bool   // answers a heartbeat
 }
 
--- a/reducer/storeera/storeera.go
+++ b/reducer/storeera/storeera.go
@@ -56,12 +56,15 @@
 	}
 }
 
-// Hear notes the era that another node has stated, and reports whether it is later than all that were seen or heard of. It
-// does not become the current one: only the store itself ends an era, so that a faulty peer cannot outdate its answers.
+// Hear notes the era that another node has stated, and reports whether it ends the current one, if it is later than all that
+// were seen or heard of. It does not become the current one: only the store itself outdates its answers, not a faulty peer.
 func (t *Tracker) Hear(era uint64) bool {
-	if t.current == 0 || era <= max(t.current, t.heard) {
+	if era <= t.Latest() {
 		return false
 	}
 	t.heard = era
-	return true
+	return t.current != 0
 }
+
+// Latest returns the latest era that was seen or heard of.
+func (t *Tracker) Latest() uint64 { return max(t.current, t.heard) }
--- a/reducer/storeera/storeera_test.go
+++ b/reducer/storeera/storeera_test.go
@@ -27,9 +27,10 @@
 // Guards against a peer whose word makes the answers of the store count as outdated.
 func TestHeardErasAreHints(t *testing.T) {
 	var tracker Tracker
-	if tracker.Hear(7) {
-		t.Error("a node that has kept nothing in the store took a hint")
+	if tracker.Hear(7) || tracker.Latest() != 7 {
+		t.Error("a node that has kept nothing in the store acts on a hint, or does not pass it on")
 	}
+	tracker = Tracker{}
 	tracker.Observe(2)
 	if tracker.Hear(2) || !tracker.Hear(9) || tracker.Hear(9) || tracker.Hear(8) {
 		t.Error("an era was not taken for a hint once")
--- a/runner/peer/wire_control.go
+++ b/runner/peer/wire_control.go
@@ -46,6 +46,9 @@
 // zoneAgeUnit is the unit of the ages in Heartbeat.Zones. It lets 3 s, after which a zone is lost, fit into 8 bits.
 const zoneAgeUnit = 16 * time.Millisecond
 
+// maxEra is far above the number of times that a store comes back from a copy.
+const maxEra = 1 << 32
+
 func wireHeartbeat(m reducer.Heartbeat) *Heartbeat {
 	out := &Heartbeat{Version: wireVersion(m.Version), Members: m.TableDigest, Era: m.StoreEra, Reply: m.Reply}
 	for _, zone := range m.Zones {
@@ -56,7 +59,7 @@
 }
 
 func (h *Heartbeat) toMessage() reducer.Heartbeat {
-	out := reducer.Heartbeat{Version: h.Version.toID(), TableDigest: h.Members, StoreEra: h.Era, Reply: h.Reply}
+	out := reducer.Heartbeat{Version: h.Version.toID(), TableDigest: h.Members, StoreEra: min(h.Era, maxEra), Reply: h.Reply}
 	for _, zone := range h.Zones {
 		age := time.Duration(zone&0xff) * zoneAgeUnit
 		out.Zones = append(out.Zones, reducer.ZoneHeard{Zone: reducer.ZoneTag(zone >> 8), Age: age})
