roll-outs: a state of a later era is not one to write again

A node that had not heard from the store since a drill took a state that another node had written in the new era for one of before, and would have written it again as one of its own era. Found while reading the change; TestStateOfALaterEraIsNotRestored fails without it (era 2 in era 1).

--- a/reducer/rollout_restore.go
+++ b/reducer/rollout_restore.go
@@ -28,11 +28,11 @@
 	s.readRolloutsNow()
 }
 
-// newestRollout returns the newest state of a roll-out that this node knows. In a new era it may be one that a decider has passed
-// on and the store has lost.
+// newestRollout returns the newest state of a roll-out that this node knows. In a new era it may be one of before that a decider
+// has passed on and the store has lost.
 func (s *State) newestRollout(service string) rollout.Stored {
 	stored, passed := s.rollouts.stored[service], s.rollouts.view.Update(service)
-	if passed.Era == s.storeEra.Current() || !passed.At().IsAfter(stored.Update.At()) {
+	if passed.Era >= s.storeEra.Current() || !passed.At().IsAfter(stored.Update.At()) {
 		return stored
 	}
 	return stored.With(passed, s.rollouts.orders[service].Duration, s.wallClockMillis())
@@ -40,7 +40,7 @@
 
 // isOfEarlierEra reports whether a state has to be written again, so that its revisions can be compared with those of the era.
 func (s *State) isOfEarlierEra(stored rollout.Stored) bool {
-	return stored.Update.Revision > 0 && stored.Update.Era != s.storeEra.Current()
+	return stored.Update.Revision > 0 && stored.Update.Era < s.storeEra.Current()
 }
 
 // hasRolloutWork reports whether a decider has something to do for a service.
--- a/reducer/store_era_test.go
+++ b/reducer/store_era_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 )
 
@@ -58,6 +59,19 @@
 	}
 }
 
+// Guards against a node that does not know the new era yet and writes the state of a roll-out again that another node has written
+// in it, as one of its own earlier era.
+func TestStateOfALaterEraIsNotRestored(t *testing.T) {
+	n := newEraNode(t)
+	for era, want := range map[uint64]bool{1: false, 2: false, 0: true} {
+		n.state.rollouts = rolloutState{stored: map[string]rollout.Stored{}}
+		n.state.rollouts.view.Apply(rollout.Update{Service: "s", Version: "v2", State: rollout.RolledBack, Era: era, Revision: 5, Order: 3}, n.now)
+		if got := n.state.hasRolloutWork("s"); got != want {
+			t.Errorf("state of era %d in era 1: there is something to decide: %v", era, got)
+		}
+	}
+}
+
 // Guards against answers that were given in an earlier era, or partly in it, and arrive in the new one.
 func TestLateAnswersOfAnEraAreDropped(t *testing.T) {
 	n := newEraNode(t)
