--- a/internal/pump/restore_test.go
+++ b/internal/pump/restore_test.go
@@ -18,6 +18,17 @@
 	return w
 }
 
+// loseVersions writes versions of which a drill leaves the last, and runs until the store is back.
+func (w *World) loseVersions(versions int) {
+	older := w.Store.Copy()
+	for range versions {
+		w.Store.Apply(readersRoutes, readersNext)
+	}
+	w.Run(w.Now + time.Second)
+	w.Store.Drill(older)
+	w.Run(w.Now + drillOutage)
+}
+
 // Guards against a version that does not come into force after the store has come back from a copy (review/12): the readers
 // watched on from a revision of before, which the write of that version gave out again.
 func TestVersionAfterADrillIsActive(t *testing.T) {
@@ -49,13 +60,7 @@
 // again, without a pause: four nodes made 1,700 calls in 4 s (review/12).
 func TestCallsAfterADrillArePaced(t *testing.T) {
 	w := newDrillWorld(1)
-	older := w.Store.Copy()
-	for range 20 {
-		w.Store.Apply(readersRoutes, readersNext)
-	}
-	w.Run(w.Now + time.Second)
-	w.Store.Drill(older)
-	w.Run(w.Now + drillOutage)
+	w.loseVersions(20)
 	before := w.Store.Calls
 	w.Run(w.Now + 10*time.Second)
 	// In 10 s a reader reads once a backoff while the store is away, writes its entry again, and lists the entries twice.
@@ -134,13 +139,7 @@
 // times.
 func TestCallsOfALargeMeshAfterADrill(t *testing.T) {
 	w, readers, _ := newReadersWorld(4)
-	older := w.Store.Copy()
-	for range 20 {
-		w.Store.Apply(readersRoutes, readersNext)
-	}
-	w.Run(w.Now + time.Second)
-	w.Store.Drill(older)
-	w.Run(w.Now + drillOutage)
+	w.loseVersions(20)
 	before := w.Store.Calls
 	w.Run(w.Now + 2*time.Second)
 	if calls, most := w.Store.Calls-before, 10*len(readers); calls > most {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -99,17 +99,6 @@
 	}
 }
 
-// eraWriter states the era of the store in the head of each response, as it is when the response is written.
-type eraWriter struct {
-	http.ResponseWriter
-	server *Server
-}
-
-func (w eraWriter) WriteHeader(status int) {
-	w.Header().Set(kv.HeaderEra, strconv.FormatUint(w.server.era.Load(), 10))
-	w.ResponseWriter.WriteHeader(status)
-}
-
 type handler func(w http.ResponseWriter, r *http.Request, body []byte)
 
 // findHandler returns the handler for a call and the counter of its kind, or nil for an unknown path or
--- a/internal/standin/platform/restore.go
+++ b/internal/standin/platform/restore.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"maps"
+	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/rosemaryhatch/rosemaryhatch/platform/kv"
@@ -50,3 +52,14 @@
 	close(s.faults.cutWatches)
 	s.faults.cutWatches = make(chan struct{})
 }
+
+// eraWriter states the era of the store in the head of each response, as it is when the response is written.
+type eraWriter struct {
+	http.ResponseWriter
+	server *Server
+}
+
+func (w eraWriter) WriteHeader(status int) {
+	w.Header().Set(kv.HeaderEra, strconv.FormatUint(w.server.era.Load(), 10))
+	w.ResponseWriter.WriteHeader(status)
+}
--- a/node/broken_test.go
+++ b/node/broken_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -18,7 +17,6 @@
 
 	standin "github.com/rosemaryhatch/rosemaryhatch/internal/standin/platform"
 	store "github.com/rosemaryhatch/rosemaryhatch/platform/kv"
-	"github.com/rosemaryhatch/rosemaryhatch/runner/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/settings"
 )
 
@@ -80,15 +78,7 @@
 		}
 	}
 	server.Start()
-	nodes.Go(func() {
-		text, _ := json.Marshal(backend.Registration{Service: "stitchroom", Address: server.Listener.Addr().String(), Slots: 80, State: backend.StateReady})
-		for ctx.Err() == nil {
-			if response, err := http.Post("http://"+second.Register+backend.RegisterPath+"i1", "application/json", bytes.NewReader(text)); err == nil {
-				response.Body.Close()
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-	})
+	nodes.Go(func() { keepRegistered(ctx, second.Register, server) })
 	t.Cleanup(func() {
 		cancel()
 		nodes.Wait()
--- a/node/upload_test.go
+++ b/node/upload_test.go
@@ -86,15 +86,7 @@
 		n, _ := io.Copy(io.Discard, r.Body)
 		fmt.Fprint(w, n)
 	}))
-	nodes.Go(func() {
-		text, _ := json.Marshal(backend.Registration{Service: "stitchroom", Address: server.Listener.Addr().String(), Slots: 80, State: backend.StateReady})
-		for ctx.Err() == nil {
-			if response, err := http.Post("http://"+second.Register+backend.RegisterPath+"i1", "application/json", bytes.NewReader(text)); err == nil {
-				response.Body.Close()
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
-	})
+	nodes.Go(func() { keepRegistered(ctx, second.Register, server) })
 	t.Cleanup(func() {
 		cancel()
 		nodes.Wait()
@@ -104,6 +96,17 @@
 	return first.Callers
 }
 
+// keepRegistered registers a backend server with 80 slots at a node until ctx ends.
+func keepRegistered(ctx context.Context, register string, server *httptest.Server) {
+	text, _ := json.Marshal(backend.Registration{Service: "stitchroom", Address: server.Listener.Addr().String(), Slots: 80, State: backend.StateReady})
+	for ctx.Err() == nil {
+		if response, err := http.Post("http://"+register+backend.RegisterPath+"i1", "application/json", bytes.NewReader(text)); err == nil {
+			response.Body.Close()
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // uploadAll sends uploads at once and returns how many got the length of the body.
 func uploadAll(address string, uploads, length int) int {
 	var served int
