store: a watch that gets 410 continues from the revision of a read

A platform that states no eras can lose revisions as well, such as one that is started again empty. A reader then kept a revision that the store does not have, and asked from it again and again, paced but for good. After a 410 it forgets the revision, and the read that follows gives the one to continue from; the orders of roll-outs do the same.

Evidence: TestVersionAfterADrillIsActive plays drills without eras too.

--- a/internal/processtest/outside_test.go
+++ b/internal/processtest/outside_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/rosemaryhatch/rosemaryhatch/internal/standin/backend"
 	"github.com/rosemaryhatch/rosemaryhatch/internal/standin/load"
+	"github.com/rosemaryhatch/rosemaryhatch/internal/standin/platform"
 	protocol "github.com/rosemaryhatch/rosemaryhatch/runner/frontend"
 )
 
@@ -47,6 +49,42 @@
 	}
 }
 
+// Guards against a version that does not come into force after the store has come back from an older copy (review/12), and
+// against nodes that call the store without a pause from then on: 430 calls a second of four nodes.
+func TestPlatformComesBackFromACopy(t *testing.T) {
+	c := startCluster(t, nil)
+	stop := c.WatchVersions(t.Context())
+	inject := func(kind platform.FaultKind, off bool) {
+		requireNoError(t, c.inject(t.Context(), platform.Fault{Kind: kind, Off: off}))
+	}
+	inject(platform.FaultCopy, false)
+	for version := uint64(2); version <= 3; version++ {
+		requireNoError(t, c.Apply(t.Context(), version))
+		requireNoError(t, c.AwaitVersion(t.Context(), version, versionBound))
+	}
+	inject(platform.FaultDown, false)
+	sleep(t, 500*time.Millisecond)
+	inject(platform.FaultRestore, false)
+	inject(platform.FaultDown, true)
+	var before, after platform.Calls
+	const calm, most = 4 * time.Second, 160 // ten calls a second of each node
+	requireNoError(t, c.callPlatform(t.Context(), http.MethodGet, platform.CallsPath, "", &before))
+	sleep(t, calm)
+	requireNoError(t, c.callPlatform(t.Context(), http.MethodGet, platform.CallsPath, "", &after))
+	if calls := after.Reads + after.Writes + after.Watches + after.Leases - before.Reads - before.Writes - before.Watches - before.Leases; calls > most {
+		t.Errorf("%d calls in %v after the drill, expected at most %d", calls, calm, most)
+	}
+	for version := uint64(4); version <= 6; version++ {
+		requireNoError(t, c.Apply(t.Context(), version))
+		requireNoError(t, c.AwaitVersion(t.Context(), version, versionBound))
+	}
+	for node, versions := range stop() {
+		if !slices.IsSorted(versions) {
+			t.Errorf("%s showed versions %v", node, versions)
+		}
+	}
+}
+
 // Guards against calls that a draining backend server still gets after the bound, and against calls that are lost or run
 // twice when another backend server is killed.
 func TestBackendServerDrainsAndAnotherIsKilled(t *testing.T) {
--- a/internal/processtest/rollout.go
+++ b/internal/processtest/rollout.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"path/filepath"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -80,15 +79,6 @@
 	return err
 }
 
-// inject begins or ends a fault of the platform.
-func (c *rollOutCluster) inject(ctx context.Context, fault platformstandin.Fault) error {
-	text, err := json.Marshal(fault)
-	if err != nil {
-		return err
-	}
-	return c.callPlatform(ctx, http.MethodPost, platformstandin.FaultPath, string(text), nil)
-}
-
 // changes returns the changes of a key of the store, which the platform lists also during its faults.
 func (c *rollOutCluster) changes(ctx context.Context, key string) ([]platformstandin.Change, error) {
 	var changes []platformstandin.Change
@@ -96,26 +86,6 @@
 	return changes, err
 }
 
-// callPlatform calls an endpoint of the platform stand-in that is not part of the store's protocol.
-func (c *rollOutCluster) callPlatform(ctx context.Context, method, path, body string, out any) error {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.platformAddress+path, strings.NewReader(body))
-	if err != nil {
-		return err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return oops.In("processtest").Wrap(err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return oops.In("processtest").Errorf("%s was answered with status %d", path, response.StatusCode)
-	}
-	if out == nil {
-		return nil
-	}
-	return json.NewDecoder(response.Body).Decode(out)
-}
-
 // orderedAt returns when the order was written.
 func (c *rollOutCluster) orderedAt(ctx context.Context) (time.Time, error) {
 	changes, err := c.changes(ctx, platform.OwnRollouts().OrderKey(rollOutService))
--- a/internal/pump/restore_test.go
+++ b/internal/pump/restore_test.go
@@ -35,6 +35,7 @@
 	for lost := 1; lost <= 4; lost++ { // versions that the copy lacks; one of them is written again
 		for drills := 1; drills <= 2; drills++ {
 			w := newDrillWorld(uint64(lost))
+			w.Store.NoEras = drills == 2 && lost > 2 // 410 tells as well, while the store has not passed the old revision
 			for range drills {
 				older := w.Store.Copy()
 				for i := range lost {
--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -17,7 +17,8 @@
 	Stale      bool          // ListNodes repeats its previous result
 	// LoseAnswers makes the store carry out calls without answering them. Watches only get no answer.
 	LoseAnswers bool
-	Calls       int // number of calls so far, without watches
+	Calls       int  // number of calls so far, without watches
+	NoEras      bool // answers state no era
 
 	cutOff         []string // zones whose calls get no answer
 	turnedAway     map[reducer.NodeID]Refusal
@@ -169,7 +170,11 @@
 
 // answer reports the result of a call that the store has answered, with its era.
 func (s *Store) answer(n *Node, result reducer.StoreAnswer) {
-	n.reduce(reducer.StoreAnswered{Era: s.era, Answer: result})
+	answered := reducer.StoreAnswered{Era: s.era, Answer: result}
+	if s.NoEras {
+		answered.Era = 0
+	}
+	n.reduce(answered)
 }
 
 // watch answers when the store has a newer revision, or at the time until. One after a revision that the store does not have
--- a/reducer/config_reader.go
+++ b/reducer/config_reader.go
@@ -192,7 +192,8 @@
 		if s.config.active == nil && in.Result == StoreAbsent {
 			s.timers.set(timerKey{kind: timerStoreRead}, s.now+maxStoreBackoff)
 		}
-	case StoreHistoryGone: // a store whose history is gone each time would otherwise be asked without a pause
+	case StoreHistoryGone: // the store may not have the revision any more, and state no eras: a read gives the one to continue from
+		reader.revision = storeera.Revision{}
 		s.timers.set(timerKey{kind: timerStoreRead}, s.now+s.recordFailure(call))
 	default:
 		wait := s.recordFailure(call)
--- a/reducer/rollout_state.go
+++ b/reducer/rollout_state.go
@@ -148,7 +148,8 @@
 			s.readRolloutsNow()
 		}
 	case StoreHistoryGone:
-		r.watchAt, r.hasRead = s.now+s.recordFailure(&r.watch), false // a read gives the revision to continue from
+		r.watchAt, r.hasRead = s.now+s.recordFailure(&r.watch), false
+		r.revision = storeera.Revision{} // a read gives the one to continue from
 		s.readRolloutsNow()
 	default:
 		r.watchAt = s.now + s.recordFailure(&r.watch)
