--- a/internal/faultmatrix/combined.go
+++ b/internal/faultmatrix/combined.go
@@ -47,7 +47,7 @@
 		{Name: "backend server leaves while the store is down", Begin: leaveInOutage, Length: 8 * time.Second, Sampled: true},
 		{Name: "backend server leaves, two registrations are late", Begin: leaveBeforeTwoLateRegistrations, Length: 8 * time.Second, Sampled: true},
 		{Name: "leases lapse after a backend server has left", Begin: leaveBeforeLeasesLapse, Length: 8 * time.Second, Sampled: true},
-		{Name: "backend server leaves before a drill of the store", Begin: leaveBeforeDrill, Length: 9 * time.Second, Sampled: true},
+		{Name: "backend server leaves before the store is restored", Begin: leaveBeforeRestore, Length: 9 * time.Second, Sampled: true},
 		regionsScenario,
 	}
 }
@@ -67,13 +67,13 @@
 	sendAfterLeave(w, 4*time.Second)
 }
 
-// leaveBeforeDrill lets a backend server leave. Then the store comes back from a copy that lacks the leave, the process of its node
+// leaveBeforeRestore lets a backend server leave. Then the store is restored from a copy that lacks the leave, the process of its node
 // is killed, and a registration from before the leave arrives.
-func leaveBeforeDrill(w *pump.World) {
+func leaveBeforeRestore(w *pump.World) {
 	target, older := w.Node(Target), w.Store.Copy()
 	target.DelayRegistration(4 * time.Second)
 	w.After(time.Second, target.DeregisterBackend)
-	w.After(1500*time.Millisecond, func() { w.Store.Drill(older) })
+	w.After(1500*time.Millisecond, func() { w.Store.FailAndRestore(older) })
 	w.After(2300*time.Millisecond, target.RestartProcess)
 	sendAfterLeave(w, 5*time.Second)
 }
--- a/internal/faultmatrix/faults.go
+++ b/internal/faultmatrix/faults.go
@@ -89,9 +89,9 @@
 		{"store slow", func(w *pump.World, _ *pump.Node) { w.Store.ExtraDelay = 900 * time.Millisecond }},
 		{"store stale", func(w *pump.World, _ *pump.Node) { w.Store.Stale = true }},
 		{"store loses answers", func(w *pump.World, _ *pump.Node) { w.Store.LoseAnswers = true }},
-		{"store comes back from a copy", func(w *pump.World, _ *pump.Node) {
+		{"store restored from an older copy", func(w *pump.World, _ *pump.Node) {
 			older := w.Store.Copy()
-			w.After(copyAge, func() { w.Store.Drill(older) })
+			w.After(copyAge, func() { w.Store.FailAndRestore(older) })
 		}},
 		{"leases lapse", func(w *pump.World, _ *pump.Node) { w.Store.ExpireLeases() }},
 		{"new version", func(w *pump.World, _ *pump.Node) { w.Store.Apply(Routes, NextPools) }},
--- a/internal/processtest/outside_test.go
+++ b/internal/processtest/outside_test.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// Guards against a version that does not come into force after the store has come back from an older copy (review/12), and
+// Guards against a version that does not come into force after the store was restored from an older copy (review/12), and
 // against nodes that call the store without a pause from then on: 430 calls a second of four nodes.
-func TestPlatformComesBackFromACopy(t *testing.T) {
+func TestPlatformRestoredFromACopy(t *testing.T) {
 	c := startCluster(t, nil)
 	stop := c.WatchVersions(t.Context())
 	inject := func(kind platform.FaultKind, off bool) {
@@ -72,7 +72,7 @@
 	sleep(t, calm)
 	requireNoError(t, c.callPlatform(t.Context(), http.MethodGet, platform.CallsPath, "", &after))
 	if calls := after.Reads + after.Writes + after.Watches + after.Leases - before.Reads - before.Writes - before.Watches - before.Leases; calls > most {
-		t.Errorf("%d calls in %v after the drill, expected at most %d", calls, calm, most)
+		t.Errorf("%d calls in %v after the restore, expected at most %d", calls, calm, most)
 	}
 	for version := uint64(4); version <= 6; version++ {
 		requireNoError(t, c.Apply(t.Context(), version))
--- a/internal/pump/restore.go
+++ b/internal/pump/restore.go
@@ -50,14 +50,14 @@
 	s.resumeWatches() // which end, because they began in another era
 }
 
-// drillOutage is how long the store is away before it comes back from a copy.
-const drillOutage = 500 * time.Millisecond
+// restoreOutage is how long the store is away before it is restored from a copy.
+const restoreOutage = 500 * time.Millisecond
 
-// Drill takes the store away for a moment and brings it back from a copy. The operator then writes the newest document and the
+// FailAndRestore takes the store away for a moment and brings it back from a copy. The operator then writes the newest document and the
 // newest orders again, unless the copy has them.
-func (s *Store) Drill(c StoreCopy) {
+func (s *Store) FailAndRestore(c StoreCopy) {
 	s.Down = true
-	s.world.After(drillOutage, func() {
+	s.world.After(restoreOutage, func() {
 		s.Down = false
 		documents, orders := s.documents[max(len(c.documents), len(s.documents)-1):], maps.Clone(s.rollouts.orders)
 		s.Restore(c)
@@ -71,7 +71,7 @@
 	})
 }
 
-// writeOrderAgain writes an order of before the drill, unless the copy has it.
+// writeOrderAgain writes an order of before the restore, unless the copy has it.
 func (s *Store) writeOrderAgain(order rollout.Order) {
 	if s.rollouts.orders[order.Service] == order {
 		return
--- a/internal/pump/restore_test.go
+++ b/internal/pump/restore_test.go
@@ -7,8 +7,8 @@
 	"github.com/rosemaryhatch/rosemaryhatch/reducer"
 )
 
-// newDrillWorld returns a world of two zones with two nodes each, all of which read the store.
-func newDrillWorld(seed uint64) *World {
+// newRestoreWorld returns a world of two zones with two nodes each, all of which read the store.
+func newRestoreWorld(seed uint64) *World {
 	w := New(seed)
 	w.Store.Apply(readersRoutes, readersPools)
 	for _, n := range []struct{ id, zone string }{{"larvik-1", "Larvik"}, {"larvik-2", "Larvik"}, {"horten-1", "Horten"}, {"horten-2", "Horten"}} {
@@ -18,31 +18,31 @@
 	return w
 }
 
-// loseVersions writes versions of which a drill leaves the last, and runs until the store is back.
+// loseVersions writes versions of which a restore leaves the last, and runs until the store is back.
 func (w *World) loseVersions(versions int) {
 	older := w.Store.Copy()
 	for range versions {
 		w.Store.Apply(readersRoutes, readersNext)
 	}
 	w.Run(w.Now + time.Second)
-	w.Store.Drill(older)
-	w.Run(w.Now + drillOutage)
+	w.Store.FailAndRestore(older)
+	w.Run(w.Now + restoreOutage)
 }
 
-// Guards against a version that does not come into force after the store has come back from a copy (review/12): the readers
+// Guards against a version that does not come into force after the store was restored from a copy (review/12): the readers
 // watched on from a revision of before, which the write of that version gave out again.
-func TestVersionAfterADrillIsActive(t *testing.T) {
+func TestVersionAfterARestoreIsActive(t *testing.T) {
 	for lost := 1; lost <= 4; lost++ { // versions that the copy lacks; one of them is written again
-		for drills := 1; drills <= 2; drills++ {
-			w := newDrillWorld(uint64(lost))
-			w.Store.NoEras = drills == 2 && lost > 2 // 410 tells as well, while the store has not passed the old revision
-			for range drills {
+		for restores := 1; restores <= 2; restores++ {
+			w := newRestoreWorld(uint64(lost))
+			w.Store.NoEras = restores == 2 && lost > 2 // 410 tells as well, while the store has not passed the old revision
+			for range restores {
 				older := w.Store.Copy()
 				for i := range lost {
 					w.Store.Apply(readersRoutes, []string{readersNext, readersPools}[i%2])
 					w.Run(w.Now + 500*time.Millisecond)
 				}
-				w.Store.Drill(older)
+				w.Store.FailAndRestore(older)
 				w.Run(w.Now + time.Second)
 			}
 			w.Run(w.Now + 4*time.Second)
@@ -50,7 +50,7 @@
 				w.Store.Apply(readersRoutes, []string{readersNext, readersPools}[version%2])
 				w.Run(w.Now + 2*time.Second)
 				if behind := versionsBehind(w); len(behind) > 0 {
-					t.Errorf("%d versions lost, %d drills: version %d is not active at %v 2 s after it was written", lost, drills, w.Store.newestNumber(), behind)
+					t.Errorf("%d versions lost, %d restores: version %d is not active at %v 2 s after it was written", lost, restores, w.Store.newestNumber(), behind)
 				}
 			}
 		}
@@ -59,22 +59,22 @@
 
 // Guards against nodes that ask a store for changes since a revision that it does not have, get 410, read, and ask the same
 // again, without a pause: four nodes made 1,700 calls in 4 s (review/12).
-func TestCallsAfterADrillArePaced(t *testing.T) {
-	w := newDrillWorld(1)
+func TestCallsAfterARestoreArePaced(t *testing.T) {
+	w := newRestoreWorld(1)
 	w.loseVersions(20)
 	before := w.Store.Calls
 	w.Run(w.Now + 10*time.Second)
 	// In 10 s a reader reads once a backoff while the store is away, writes its entry again, and lists the entries twice.
 	if calls, most := w.Store.Calls-before, 4*20; calls > most {
-		t.Errorf("%d calls in 10 s after the drill, expected at most %d", calls, most)
+		t.Errorf("%d calls in 10 s after the restore, expected at most %d", calls, most)
 	}
 }
 
-// Guards against a node that goes on with a lease of before a drill, whose number the store has given to another holder: its entry
+// Guards against a node that goes on with a lease of before a restore, whose number the store has given to another holder: its entry
 // is missing for good, or disappears with the other one, and a node that starts finds fewer others.
-func TestEntriesAreBackAfterADrill(t *testing.T) {
+func TestEntriesAreBackAfterARestore(t *testing.T) {
 	for _, beforeEntries := range []bool{false, true} { // whether the copy was made before the nodes started, or later
-		for drills := 1; drills <= 2; drills++ {
+		for restores := 1; restores <= 2; restores++ {
 			w := New(2)
 			w.Store.Apply(readersRoutes, readersPools)
 			older := w.Store.Copy()
@@ -87,9 +87,9 @@
 				older = w.Store.Copy()
 				w.Run(w.Now + 3*time.Second)
 			}
-			for range drills {
-				w.Store.Drill(older)
-				w.Run(w.Now + drillOutage + 300*time.Millisecond)
+			for range restores {
+				w.Store.FailAndRestore(older)
+				w.Run(w.Now + restoreOutage + 300*time.Millisecond)
 			}
 			w.Run(w.Now + 2*time.Second)
 			missing := map[reducer.NodeID]bool{}
@@ -105,7 +105,7 @@
 			}
 			for id, gone := range missing {
 				if gone {
-					t.Errorf("copy of before the entries: %v, %d drills: the entry of %s is missing within 15 s, 2 s after the store was back", beforeEntries, drills, id)
+					t.Errorf("copy of before the entries: %v, %d restores: the entry of %s is missing within 15 s, 2 s after the store was back", beforeEntries, restores, id)
 				}
 			}
 		}
@@ -124,8 +124,8 @@
 		t.Fatalf("%d leaves are stored, expected one", len(w.Store.left))
 	}
 	for range 2 {
-		w.Store.Drill(older)
-		w.Run(w.Now + drillOutage)
+		w.Store.FailAndRestore(older)
+		w.Run(w.Now + restoreOutage)
 		if len(w.Store.left) != 0 {
 			t.Fatal("the copy has the leave")
 		}
@@ -136,15 +136,15 @@
 	}
 }
 
-// Guards against a drill after which the calls of a large mesh exceed the rates of the store: only readers call it, and each a few
+// Guards against a restore after which the calls of a large mesh exceed the rates of the store: only readers call it, and each a few
 // times.
-func TestCallsOfALargeMeshAfterADrill(t *testing.T) {
+func TestCallsOfALargeMeshAfterARestore(t *testing.T) {
 	w, readers, _ := newReadersWorld(4)
 	w.loseVersions(20)
 	before := w.Store.Calls
 	w.Run(w.Now + 2*time.Second)
 	if calls, most := w.Store.Calls-before, 10*len(readers); calls > most {
-		t.Errorf("%d calls of %d readers in the 2 s after the drill, expected at most %d", calls, len(readers), most)
+		t.Errorf("%d calls of %d readers in the 2 s after the restore, expected at most %d", calls, len(readers), most)
 	}
 	if behind := versionsBehind(w); len(behind) > 0 {
 		t.Errorf("the version that was written again is not active at %v", behind)
--- a/internal/pump/rollout_restore_test.go
+++ b/internal/pump/rollout_restore_test.go
@@ -8,30 +8,30 @@
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/rollout"
 )
 
-// drillAt copies the store at a time after the order and brings it back from the copy 2 s later, several times in a row.
-func (w *rolloutWorld) drillAt(after time.Duration, drills int) {
+// restoreAt copies the store at a time after the order and brings it back from the copy 2 s later, several times in a row.
+func (w *rolloutWorld) restoreAt(after time.Duration, restores int) {
 	w.After(after, func() {
 		older := w.Store.Copy()
-		w.After(2*time.Second, func() { w.Store.Drill(older) })
-		if drills > 1 {
-			w.drillAt(3*time.Second, drills-1)
+		w.After(2*time.Second, func() { w.Store.FailAndRestore(older) })
+		if restores > 1 {
+			w.restoreAt(3*time.Second, restores-1)
 		}
 	})
 }
 
-// Guards against a roll-out that never ends after the store has come back from a copy, because all of its states count as older
+// Guards against a roll-out that never ends after the store was restored from a copy, because all of its states count as older
 // than the ones that were lost, and against a bad version that is found later than its bound or used again after it.
-func TestRolloutGoesOnAfterADrill(t *testing.T) {
-	for drills := 1; drills <= 2; drills++ {
+func TestRolloutGoesOnAfterARestore(t *testing.T) {
+	for restores := 1; restores <= 2; restores++ {
 		for _, after := range []time.Duration{0, 500 * time.Millisecond, 2 * time.Second, 5 * time.Second, 8 * time.Second, 10 * time.Second} {
 			for _, bad := range []bool{false, true} {
-				t.Run(fmt.Sprintf("%d/%v/bad %v", drills, after, bad), func(t *testing.T) {
+				t.Run(fmt.Sprintf("%d/%v/bad %v", restores, after, bad), func(t *testing.T) {
 					t.Parallel()
 					w := newRolloutWorld(t, 1)
 					if bad {
 						w.setVersion("v2", func(b *Backend) { b.FailShare = 0.5 })
 					}
-					w.drillAt(after, drills)
+					w.restoreAt(after, restores)
 					w.order("v2")
 					w.Run(w.orderedAt + 2*rolloutDuration)
 					state, _ := w.Store.Rollout("desk")
@@ -47,10 +47,10 @@
 	}
 }
 
-// Guards against a drill that undoes the end of a roll-out: the copy holds it as running, and the version that was replaced or
+// Guards against a restore that undoes the end of a roll-out: the copy holds it as running, and the version that was replaced or
 // rolled back is used again. A version that is ordered again later is rolled out again, although the number of the order is lower
 // than that of the first.
-func TestEndOfARolloutOutlivesADrill(t *testing.T) {
+func TestEndOfARolloutOutlivesARestore(t *testing.T) {
 	for _, want := range []rollout.State{rollout.Succeeded, rollout.RolledBack} {
 		w := newRolloutWorld(t, 3)
 		if want == rollout.RolledBack {
@@ -63,12 +63,12 @@
 			w.Run(w.Now + 100*time.Millisecond)
 		}
 		for range 2 {
-			w.Store.Drill(older)
+			w.Store.FailAndRestore(older)
 			w.Run(w.Now + 2*time.Second)
 		}
 		w.Run(w.Now + 8*time.Second)
 		if state, _ := w.Store.Rollout("desk"); state.Update.State != want {
-			t.Fatalf("after the drills the state is %+v, expected %v", state, want)
+			t.Fatalf("after the restores the state is %+v, expected %v", state, want)
 		}
 		old := map[rollout.State]string{rollout.Succeeded: "v1", rollout.RolledBack: "v2"}[want]
 		before := w.executed[old]
--- a/internal/pump/store.go
+++ b/internal/pump/store.go
@@ -25,7 +25,7 @@
 	world          *World
 	documents      []tables.Document
 	revision       uint64
-	era            uint64 // how often the store has come back from a copy, from 1 on
+	era            uint64 // how often the store was restored from a copy, from 1 on
 	waitingWatches []func()
 	leases         map[uint64]*lease
 	left           map[string]leaveRecord // by instance of a backend server
@@ -216,7 +216,7 @@
 }
 
 // awaitWrite resumes a watch at the next write, or after watchPollInterval, so that it notices a failed store. A watch that
-// waits when the store comes back from a copy fails.
+// waits when the store is restored from a copy fails.
 func (s *Store) awaitWrite(n *Node, resume func(), failed reducer.Input) {
 	processSeq, era, done := n.processSeq, s.era, false
 	once := func() {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -35,7 +35,7 @@
 	calls             Calls
 	faults            faultState
 	copied            contents      // by FaultCopy
-	era               atomic.Uint64 // how often the store has come back from a copy, from 1 on
+	era               atomic.Uint64 // how often the store was restored from a copy, from 1 on
 }
 
 // Calls holds the numbers of calls received, answered or not.
--- a/operator/nodestatus/status.go
+++ b/operator/nodestatus/status.go
@@ -25,7 +25,7 @@
 	Rejected     Rejected `json:"rejected_versions"`
 	// UnsupportedRoutes are the routes of the active version whose requests the node refuses.
 	UnsupportedRoutes []UnsupportedRoute `json:"unsupported_routes,omitempty"`
-	// StoreEra counts how often the platform's store has come back from an older copy; absent if it does not state it.
+	// StoreEra counts how often the platform's store was restored from an older copy; absent if it does not state it.
 	StoreEra uint64 `json:"store_era,omitempty"`
 	// InvalidEntries are the entries in the platform's store that the node leaves out.
 	InvalidEntries []InvalidEntry `json:"invalid_entries,omitempty"`
--- a/reducer/deregistration/deregistration_test.go
+++ b/reducer/deregistration/deregistration_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// Guards against a record that counts as kept while the store alone has it, which may come back from a copy that lacks it, or
+// Guards against a record that counts as kept while the store alone has it, which may be restored from a copy that lacks it, or
 // while only other nodes hold it although the store may still confirm it.
 func TestStoreAndAnotherNodeKeepARecord(t *testing.T) {
 	const peers = 5
--- a/reducer/deregistration/ledger.go
+++ b/reducer/deregistration/ledger.go
@@ -17,8 +17,8 @@
 // Ledger is what the node beside a backend server knows of its deregistrations, and who waits for their
 // acknowledgement. The zero value is ready to use.
 //
-// Invariant: only a kept record is acknowledged: one that the store has confirmed and another node holds. The store may come
-// back from a copy that lacks it, and the process may end before it knows. Once a record is overdue, the store or
+// Invariant: only a kept record is acknowledged: one that the store has confirmed and another node holds. The store may be
+// restored from a copy that lacks it, and the process may end before it knows. Once a record is overdue, the store or
 // wantedHolders other nodes will do.
 type Ledger struct {
 	entries map[string]*entry // by instance
--- a/reducer/deregistrations_test.go
+++ b/reducer/deregistrations_test.go
@@ -51,7 +51,7 @@
 }
 
 // Guards against a deregistration that a process confirms on the word of the store alone before it knows the other nodes: the
-// store may come back from a copy that lacks it, and the next process then finds it nowhere.
+// store may be restored from a copy that lacks it, and the next process then finds it nowhere.
 func TestProcessThatHasJustStartedWaitsForAHolder(t *testing.T) {
 	const born = processStart + 1
 	for name, hold := range map[string]bool{"another node holds it": true, "no other node is found": false} {
--- a/reducer/leave_property_test.go
+++ b/reducer/leave_property_test.go
@@ -40,7 +40,7 @@
 	era       uint64
 	copied    map[string]int64 // of the store; nil if there is none, or it was used
 	copiedAt  time.Duration
-	backAt    time.Duration // when the store was last back from a copy
+	backAt    time.Duration // when the store was last restored
 	keepers   []*deregistration.Keeper
 	restarts  [3]int // of the other nodes
 
@@ -204,9 +204,9 @@
 	})
 }
 
-// drill takes the store away for a moment and brings it back from the copy.
-func (w *leaveWorld) drill() {
-	w.note("drill: the store loses %d of %d records", len(w.store)-len(w.copied), len(w.store))
+// restoreStore takes the store away for a moment and brings it back from the copy.
+func (w *leaveWorld) restoreStore() {
+	w.note("restore: the store loses %d of %d records", len(w.store)-len(w.copied), len(w.store))
 	w.storeDown = true
 	w.run(time.Duration(rapid.IntRange(200, 600).Draw(w.t, "away")) * time.Millisecond)
 	w.store, w.copied, w.storeDown, w.backAt = w.copied, nil, false, w.now
@@ -302,7 +302,7 @@
 			w.note("the store is copied")
 		case 8:
 			if w.copied != nil && w.now-w.copiedAt <= oldestCopy {
-				w.drill()
+				w.restoreStore()
 			}
 		default:
 			w.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
--- a/reducer/rollout/restore.go
+++ b/reducer/rollout/restore.go
@@ -24,7 +24,7 @@
 }
 
 // CarriesOut reports whether a state of an earlier era is that of an order: the operator writes the order again when the store
-// has come back from a copy that lacks it.
+// was restored from a copy that lacks it.
 func (s Stored) CarriesOut(order Order) bool { return order.Version == s.Status.Version }
 
 // With returns a state with an update that a decider has passed on and the store has lost. duration is that of the order, nowMs
--- a/reducer/rollout/restore_test.go
+++ b/reducer/rollout/restore_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Guards against a state of before a drill of the store that replaces a later one because its number is higher, and against a
+// Guards against a state of before a restore of the store that replaces a later one because its number is higher, and against a
 // halt that ends when the roll-out is written again under another order.
 func TestStatesOfTwoEras(t *testing.T) {
 	v := syncedView(Update{Era: 1, Revision: 150, Version: "v2", From: "v1", State: Running, Order: 140, Halted: true})
--- a/reducer/rollout_restore.go
+++ b/reducer/rollout_restore.go
@@ -7,7 +7,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 )
 
-// orderSettleTime is how long an order that is missing or differs after a drill of the store is not acted on: the operator writes
+// orderSettleTime is how long an order that is missing or differs after a restore of the store is not acted on: the operator writes
 // the orders again that the copy lacks.
 const orderSettleTime = 3 * time.Second
 
@@ -49,7 +49,7 @@
 	return newest.Update.State == rollout.Running || s.isOfEarlierEra(newest) || s.rollouts.orders[service].Revision > newest.Update.Order
 }
 
-// awaitsOrder reports whether the order of a state may still be written again after a drill.
+// awaitsOrder reports whether the order of a state may still be written again after a restore.
 func (s *State) awaitsOrder(service string, newest rollout.Stored) bool {
 	order, ordered := s.rollouts.orders[service]
 	return s.now < s.rollouts.settledAt && newest.Update.Revision > 0 && !(ordered && newest.CarriesOut(order))
--- a/reducer/store_era.go
+++ b/reducer/store_era.go
@@ -36,10 +36,10 @@
 	s.apply(in.Answer)
 }
 
-// beginStoreEra forgets what this node knows by a revision, a lease or an acknowledgement of the era before: the store has
-// come back from a copy that may lack it, and gives the same numbers out again.
+// beginStoreEra forgets what this node knows by a revision, a lease or an acknowledgement of the era before: the store was
+// restored from a copy that may lack it, and gives the same numbers out again.
 func (s *State) beginStoreEra(before uint64) {
-	s.log(LevelWarn, "platform store came back from a copy", Field{"era", s.storeEra.Current()}, Field{"era_before", before},
+	s.log(LevelWarn, "platform store was restored from an older copy", Field{"era", s.storeEra.Current()}, Field{"era_before", before},
 		Field{"active", s.config.active.ID().Number}, Field{"watched_after", s.config.reader.revision.Number})
 	s.restartReader()
 	s.forgetNodeLease()
@@ -51,7 +51,7 @@
 // this node has stored is then written again; the answers of the store confirm the era.
 func (s *State) hearStoreEra(from PeerRef, era uint64) {
 	if s.storeEra.Hear(era) {
-		s.log(LevelInfo, "platform store is said to have come back from a copy", Field{"era", era}, Field{"era_before", s.storeEra.Current()}, Field{"from", from.Node})
+		s.log(LevelInfo, "peer reports that the platform store was restored", Field{"era", era}, Field{"era_before", s.storeEra.Current()}, Field{"from", from.Node})
 		s.restoreDeregistrations()
 	}
 }
--- a/reducer/storeera/storeera.go
+++ b/reducer/storeera/storeera.go
@@ -1,4 +1,4 @@
-// Package storeera tells apart the eras of the platform's store. An era ends when the store comes back from an older copy:
+// Package storeera tells apart the eras of the platform's store. An era ends when the store is restored from an older copy:
 // what was written since the copy is gone, and the numbers of its revisions are given out again. What a node remembers of
 // the store by a revision, a lease or an acknowledgement holds only in the era in which it learned it.
 package storeera
--- a/runner/peer/wire_control.go
+++ b/runner/peer/wire_control.go
@@ -46,7 +46,7 @@
 // zoneAgeUnit is the unit of the ages in Heartbeat.Zones. It lets 3 s, after which a zone is lost, fit into 8 bits.
 const zoneAgeUnit = 16 * time.Millisecond
 
-// maxEra is far above the number of times that a store comes back from a copy.
+// maxEra is far above the number of times that a store is restored from a copy.
 const maxEra = 1 << 32
 
 func wireHeartbeat(m reducer.Heartbeat) *Heartbeat {
--- a/runner/store/era_test.go
+++ b/runner/store/era_test.go
@@ -10,7 +10,7 @@
 	"github.com/rosemaryhatch/rosemaryhatch/reducer/storeera"
 )
 
-// Guards against a store that has come back from an older copy and is taken for the one before (review/12): each answer carries
+// Guards against a store that was restored from an older copy and is taken for the one before (review/12): each answer carries
 // its era, and a watch from a revision that the copy lacks is told to read.
 func TestAnswersCarryTheirEra(t *testing.T) {
 	f := newFixture(t)
